--- /dev/null
+++ b/adapter/wirehost.cpp
@@ -0,0 +1,417 @@
+// marlspread_wirehost: hosts balancer copies on the bench's wire (one JSON line in, one out). It parses,
+// translates, writes and flushes; every decision is the library's.
+#include <cstdio>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "marlspread/balancer.h"
+#include "rapidjson/document.h"
+#include "rapidjson/error/en.h"
+#include "rapidjson/stringbuffer.h"
+#include "rapidjson/writer.h"
+
+namespace {
+
+using Json = rapidjson::Value;
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+namespace ms = marlspread;
+
+// What is wrong with a message; the text names the field.
+struct BadMessage : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+const Json* find(const Json& object, const char* field) {
+  if (!object.IsObject()) throw BadMessage(std::string("not an object where field '") + field + "' belongs");
+  const auto it = object.FindMember(field);
+  return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+}
+
+const Json& need(const Json& object, const char* field) {
+  const Json* value = find(object, field);
+  if (value == nullptr) throw BadMessage(std::string("field '") + field + "' is missing");
+  return *value;
+}
+
+[[noreturn]] void wrong(const char* field, const char* wanted) {
+  throw BadMessage(std::string("field '") + field + "' is not " + wanted);
+}
+
+double number(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsNumber()) wrong(field, "a number");
+  return value.GetDouble();
+}
+
+double number_or(const Json& object, const char* field, double otherwise) {
+  return find(object, field) == nullptr ? otherwise : number(object, field);
+}
+
+int whole(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (value.IsInt()) return value.GetInt();
+  wrong(field, "a whole number in range");
+}
+
+int whole_or(const Json& object, const char* field, int otherwise) {
+  return find(object, field) == nullptr ? otherwise : whole(object, field);
+}
+
+std::size_t index_or_zero(const Json& object, const char* field) {
+  const int value = whole_or(object, field, 0);
+  if (value < 0) wrong(field, "a whole number in range");
+  return static_cast<std::size_t>(value);
+}
+
+bool flag(const Json& object, const char* field) {
+  const Json* value = find(object, field);
+  if (value == nullptr) return false;
+  if (!value->IsBool()) wrong(field, "true or false");
+  return value->GetBool();
+}
+
+std::string_view text(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsString()) wrong(field, "a string");
+  return {value.GetString(), value.GetStringLength()};
+}
+
+std::uint64_t token(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsUint64()) wrong(field, "a whole number from 0");
+  return value.GetUint64();
+}
+
+const Json& array(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsArray()) wrong(field, "an array");
+  return value;
+}
+
+ms::RequestClass read_class(const Json& in) {
+  ms::RequestClass out;
+  out.aim = number(in, "aim");
+  out.aim_stretch = number_or(in, "aimStretch", 0);
+  out.give_up = number(in, "giveUp");
+  out.late_worth = number_or(in, "lateWorth", 0);
+  const std::string_view effect = text(in, "effect");
+  if (effect == "safe") {
+    out.effect = ms::Effect::kSafe;
+  } else if (effect == "keyed") {
+    out.effect = ms::Effect::kKeyed;
+    const std::string_view group = text(in, "group");
+    if (group == "all") {
+      out.dedup_scope = ms::DedupScope::kAll;
+    } else if (group == "zone") {
+      out.dedup_scope = ms::DedupScope::kZone;
+    } else if (group == "cell") {
+      out.dedup_scope = ms::DedupScope::kCell;
+    } else {
+      throw std::invalid_argument("categories[].group: '" + std::string(group) + "' is unknown");
+    }
+    out.dedup_window = number_or(in, "dedupWindow", 0);
+  } else if (effect == "unsafe") {
+    out.effect = ms::Effect::kUnsafe;
+  } else {
+    throw std::invalid_argument("categories[].effect: '" + std::string(effect) + "' is unknown");
+  }
+  return out;
+}
+
+ms::Settings read_settings(const Json& in) {
+  ms::Settings out;
+  out.copy_index = whole(in, "position");
+  out.copy_count = whole(in, "peersTotal");
+  out.tier = whole_or(in, "stage", 0);
+  out.zone = whole_or(in, "zone", 0);
+  out.tick = number_or(in, "granularity", 0);
+  for (const Json& item : array(in, "categories").GetArray()) out.classes.push_back(read_class(item));
+  if (find(in, "realms") != nullptr) {
+    for (const Json& item : array(in, "realms").GetArray()) {
+      ms::Tenant tenant;
+      if (find(item, "allowancePerS") != nullptr) tenant.allowance = number(item, "allowancePerS");
+      out.tenants.push_back(tenant);
+    }
+  }
+  out.over_share_worth = number_or(in, "overShareWorth", 1);
+  const Json& bounds = need(in, "bounds");
+  out.max_attempts = whole_or(bounds, "maxAttempts", 1);
+  out.second_copies = flag(bounds, "secondCopies");
+  out.can_cancel = flag(bounds, "cancel");
+  out.max_retry_after = flag(bounds, "retryAfter") ? number_or(bounds, "maxRetryAfter", 0) : 0;
+  out.must_watch = find(in, "registryMode") != nullptr && text(in, "registryMode") == "subscribe";
+  if (const Json* rules = find(in, "rules")) {
+    out.ask_within = number_or(*rules, "askWithin", 0);
+    out.start_capacity = number_or(*rules, "startCapacity", 1);
+    out.ramp_time = number_or(*rules, "rampTime", 0);
+  }
+  if (const Json* fees = find(in, "fees")) out.cross_zone_price = number_or(*fees, "crossZone", 0);
+  return out;
+}
+
+ms::Outcome read_outcome(std::string_view name) {
+  if (name == "delivered") return ms::Outcome::kDelivered;
+  if (name == "app_error") return ms::Outcome::kError;
+  if (name == "shed") return ms::Outcome::kRejected;
+  if (name == "expired") return ms::Outcome::kTimedOut;
+  if (name == "dial_failed") return ms::Outcome::kDialFailed;
+  if (name == "dropped") return ms::Outcome::kReset;
+  if (name == "revoked") return ms::Outcome::kCancelled;
+  if (name == "unused") return ms::Outcome::kNotSent;
+  return ms::Outcome::kUnknown;
+}
+
+ms::Server read_server(const Json& in) {
+  ms::Server out;
+  out.address = text(in, "server");
+  out.zone = whole_or(in, "rackZone", 0);
+  out.cell = whole_or(in, "pack", 0);
+  out.weight = number_or(in, "units", 1);
+  out.started = number_or(in, "since", 0);
+  const std::string_view mode = text(in, "mode");
+  if (mode == "Ready") {
+    out.state = ms::ServerState::kReady;
+  } else if (mode == "Terminating") {
+    out.state = ms::ServerState::kDraining;
+  } else if (mode == "Gone") {
+    out.state = ms::ServerState::kGone;
+  } else {
+    wrong("mode", "Ready, Terminating or Gone");
+  }
+  return out;
+}
+
+ms::Request read_request(const Json& in) {
+  constexpr int kHintValid = 1;
+  constexpr int kClientRepeats = 2;
+  ms::Request out;
+  out.id = text(in, "txn");
+  out.tenant = index_or_zero(in, "account");
+  out.request_class = index_or_zero(in, "profile");
+  out.time_left = number(in, "timeLeft");
+  const int opts = whole_or(in, "opts", 0);
+  if ((opts & kHintValid) != 0 && find(in, "cost") != nullptr) out.work = number(in, "cost");
+  out.is_repeat = (opts & kClientRepeats) != 0;
+  return out;
+}
+
+// Writes one action as a JSON object.
+struct WriteAction {
+  Writer& out;
+
+  void start(const char* kind) const {
+    out.StartObject();
+    out.Key("kind");
+    out.String(kind);
+  }
+  void field(const char* name, const std::string& value) const {
+    out.Key(name);
+    out.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  }
+  void field(const char* name, double value) const {
+    out.Key(name);
+    out.Double(value);
+  }
+  void operator()(const ms::Send& a) const {
+    start("CALL_OUT");
+    field("txn", a.id);
+    field("server", a.server);
+    field("patience", a.timeout);
+    out.EndObject();
+  }
+  void operator()(const ms::Refuse& a) const {
+    start("SAY_NO");
+    field("txn", a.id);
+    if (a.retry_after > 0) field("notBeforeFor", a.retry_after);
+    out.EndObject();
+  }
+  void operator()(const ms::Fail& a) const {
+    start("ERROR");
+    field("txn", a.id);
+    out.EndObject();
+  }
+  void operator()(const ms::Cancel& a) const {
+    start("ABANDON");
+    field("txn", a.id);
+    out.Key("try");
+    out.Int(a.attempt);
+    out.EndObject();
+  }
+  void operator()(const ms::SetTimer& a) const {
+    start("TIMER");
+    field("dueAt", a.at);
+    out.Key("keyBack");
+    out.Uint64(a.token);
+    out.EndObject();
+  }
+  void operator()(const ms::WatchMembers&) const {
+    start("TAIL");
+    out.Key("want");
+    out.Bool(true);
+    out.EndObject();
+  }
+  void operator()(const ms::LogLine& a) const {
+    start("JOURNAL_LINE");
+    field("noteText", a.text);
+    out.EndObject();
+  }
+};
+
+class Host {
+ public:
+  // Answers one batch; returns the reply line.
+  const rapidjson::StringBuffer& answer(const Json& batch) {
+    const double now = number(batch, "clock");
+    buffer_.Clear();
+    writer_.Reset(buffer_);
+    writer_.StartObject();
+    writer_.Key("turn");
+    writer_.Uint64(token(batch, "turn"));
+    writer_.Key("nodes");
+    writer_.StartArray();
+    for (const Json& node : array(batch, "nodes").GetArray()) answer_node(now, node);
+    writer_.EndArray();
+    writer_.EndObject();
+    return buffer_;
+  }
+
+ private:
+  void answer_node(double now, const Json& node) {
+    const int who = whole(node, "who");
+    std::unique_ptr<ms::Balancer>& balancer = balancers_[who];
+    actions_.clear();
+    std::optional<std::string> fault;
+    for (const Json& item : array(node, "news").GetArray()) {
+      try {
+        handle(now, item, balancer);
+      } catch (const BadMessage&) {
+        throw;
+      } catch (const std::exception& problem) {  // the library's own: the bench wants to hear of it
+        if (!fault) fault = problem.what();
+      }
+    }
+    if (actions_.empty() && !fault) return;
+    writer_.StartObject();
+    writer_.Key("who");
+    writer_.Int(who);
+    writer_.Key("steps");
+    writer_.StartArray();
+    for (const ms::Action& action : actions_) std::visit(WriteAction{writer_}, action);
+    if (fault) {
+      writer_.StartObject();
+      writer_.Key("kind");
+      writer_.String("PANIC");
+      writer_.Key("noteText");
+      writer_.String(fault->c_str());
+      writer_.EndObject();
+    }
+    writer_.EndArray();
+    writer_.EndObject();
+  }
+
+  void handle(double now, const Json& item, std::unique_ptr<ms::Balancer>& balancer) {
+    const std::string_view kind = text(item, "kind");
+    if (kind == "TABLE") {
+      read_table(item);
+      return;
+    }
+    if (kind == "OPEN_INSTANCE") {
+      balancer.reset();
+      balancer = std::make_unique<ms::Balancer>(read_settings(need(item, "config")), token(item, "initSeed"));
+      actions_.clear();  // what an instance said before it was stopped in this batch is void
+      balancer->handle(now, ms::Started{}, actions_);
+    } else if (kind == "POWER_OFF") {
+      balancer.reset();
+      actions_.clear();
+    } else if (const std::optional<ms::Event> event = read_event(kind, item); event && balancer != nullptr) {
+      balancer->handle(now, *event, actions_);
+    }
+  }
+
+  void read_table(const Json& item) {
+    std::vector<ms::Server> servers;
+    for (const Json& entry : array(item, "nodesList").GetArray()) servers.push_back(read_server(entry));
+    tables_[whole(item, "sheet")] = std::move(servers);
+  }
+
+  std::optional<ms::Event> read_event(std::string_view kind, const Json& item) const {
+    if (kind == "QUERY") return read_request(item);
+    if (kind == "DONE") {
+      return ms::AttemptResult{std::string(text(item, "txn")), whole_or(item, "try", 0),
+                               read_outcome(text(item, "outcome")), number_or(item, "lag", 0),
+                               flag(item, "doneFlag")};
+    }
+    if (kind == "FIRED") return ms::TimerFired{token(item, "keyBack")};
+    if (kind == "GONE") return ms::RequestGone{std::string(text(item, "txn"))};
+    if (kind == "DIRECTORY_UPDATE") return read_update(item);
+    if (kind == "ACK_FIRST") {
+      return ms::AnswerStarted{std::string(text(item, "txn")), whole_or(item, "try", 0),
+                               number_or(item, "lag", 0)};
+    }
+    return std::nullopt;  // STATUS_BACK, MEMO and kinds of later wires: nothing here asks for them
+  }
+
+  ms::MembershipUpdate read_update(const Json& item) const {
+    const std::string_view form = text(item, "form");
+    ms::MembershipUpdate out;
+    if (form == "X") {
+      out.form = ms::MembershipUpdate::Form::kFailed;
+      return out;
+    }
+    if (form == "D") {
+      out.form = ms::MembershipUpdate::Form::kChanges;
+    } else if (form != "F" && form != "C") {
+      wrong("form", "D, F, C or X");
+    }
+    const auto table = tables_.find(whole(item, "sheet"));
+    if (table == tables_.end()) wrong("sheet", "the number of a list that was sent");
+    out.servers = table->second;
+    return out;
+  }
+
+  std::map<int, std::unique_ptr<ms::Balancer>> balancers_;
+  std::map<int, std::vector<ms::Server>> tables_;  // the numbered lists, shared by the whole process
+  std::vector<ms::Action> actions_;
+  rapidjson::StringBuffer buffer_;
+  Writer writer_;
+};
+
+}  // namespace
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  Host host;
+  std::string line;
+  std::uint64_t lines = 0;
+  while (std::getline(std::cin, line)) {
+    if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+    ++lines;
+    std::string turn = "unknown";
+    try {
+      rapidjson::Document batch;
+      batch.ParseInsitu(line.data());
+      if (batch.HasParseError()) {
+        throw BadMessage(std::string("not valid JSON: ") +
+                         rapidjson::GetParseError_En(batch.GetParseError()) + " at byte " +
+                         std::to_string(batch.GetErrorOffset()));
+      }
+      turn = std::to_string(token(batch, "turn"));
+      const rapidjson::StringBuffer& reply = host.answer(batch);
+      std::fwrite(reply.GetString(), 1, reply.GetSize(), stdout);
+      std::fputc('\n', stdout);
+      if (std::fflush(stdout) != 0) return 1;
+    } catch (const std::exception& problem) {
+      std::fprintf(stderr, "marlspread_wirehost: line %llu, turn %s: %s\n",
+                   static_cast<unsigned long long>(lines), turn.c_str(), problem.what());
+      return 2;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,621 @@
+// All decisions of marlspread. The interface, that is the types, events and actions, is
+// include/marlspread/balancer.h; read it first. Reading order here: the constants, then one section for each
+// question: admit? who is there? is it healthy? which server? how long? again? and last the events.
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <unordered_map>
+
+#include "marlspread/balancer.h"
+#include "support.h"
+
+namespace marlspread {
+namespace {
+
+// ---------------------------------------------------------------- constants
+
+constexpr double kBucket = 0.1;     // s; grain of the sliding window, a tenth of the short rate's second
+constexpr int kWindowBuckets = 40;  // 4 s: a copy that sees a call a second has some calls to judge by
+constexpr double kWindow = kBucket * kWindowBuckets;
+constexpr double kHardLimitFactor = 20;  // denied calls count too: below real floods nothing is denied whole
+constexpr double kFactorCache = 0.1;     // s; as in the source
+constexpr double kNoise = 1.5;           // standard deviations of a count that a bound leaves to chance
+constexpr double kStartShare = 1.5;      // x a copy's part of the allowance; a generous start of a limit
+constexpr double kFloor = 0.25;   // x the same; floor of a limit, or nothing would be left to learn from
+constexpr double kDeepFloor = 6;  // x the same; a limit's floor past tier 0: a refusal wastes the work above
+constexpr double kStep = 0.4, kMostStep = 0.1;  // calls/s, and of the limit: what a bad end takes off at most
+constexpr double kBadShare = 0.25;              // bad ends for a good one at which a limit stays where it is
+constexpr double kInTime = 0.6;  // of the aim; slower answers tell of queues before the aim is missed
+
+constexpr std::size_t kSubset = 5;     // servers at least; enough spread, few connections
+constexpr std::size_t kCover = 2;      // copies that use each server, at least: few copies have large subsets
+constexpr double kAdmittedMemory = 5;  // s; smoothing of the admitted rate that sizes cold budgets
+constexpr double kColdBudget = 1;      // x a server's part of the traffic, times what it can do so far
+
+constexpr double kAnsweredMemory = 2;  // s; smoothing of the rate at which a server answers this copy
+constexpr double kQueueFactor = 1.5;   // x the usual answer time of an idle tier; longer queues get no call
+constexpr double kTierFactor = 1.8;    // x the same for all servers together, whose measure is steadier
+constexpr double kCalm = 0.45, kCrowded = 0.7;  // of the aim; answer times that leave chance all, no room
+constexpr double kChance = 2;        // calls; what a copy may hold by chance, beside the deviations
+constexpr double kStartBase = 0.15;  // of the aim; taken for the usual answer time until it is learned
+constexpr double kMostBase = 0.3;    // of the aim; a start under load takes no queue for usual
+constexpr double kBaseCalls = 20;    // calls; answers before the usual answer time counts as learned
+constexpr double kBaseSettle = 3;    // s; before it the answers are those of the quickest calls only
+constexpr double kBaseGain = 0.02;   // weight of one answer
+constexpr double kBaseFall = 5, kBaseRise = 60;  // s; how fast a quicker, and a slower, tier becomes usual
+constexpr double kLeastRoom = 2;  // calls in flight, over all copies, that any server has room for
+constexpr double kStartRoom = 6;  // and more at one that has had no time to answer; fades as answers come
+
+constexpr double kSlow = 2.2;         // x its own idle answer time: a server has turned slow
+constexpr double kRecovered = 1.3;    // x its own idle answer time: it is no longer slow
+constexpr double kRecentGain = 0.15;  // weight of one answer in what a server does now
+constexpr double kKneePause = 2;      // s; servers that turn slow together tell of one crowd
+constexpr double kKneeDrop = 0.9;     // x the calls in flight when a server turned slow
+constexpr double kKneeMemory = 40;    // s; how fast the bound rises again
+
+constexpr double kFailGain = 0.3;    // weight of one outcome in a server's failure average
+constexpr double kFailHalfLife = 2;  // s; how fast distrust fades, times the failures in a row
+constexpr double kFailPower = 4;     // how strongly failures make a server look busy
+constexpr double kTrusted = 0.05;    // failure average that counts as none, or a server stays spared for good
+constexpr double kIll = 0.5;         // failure average from which a server is shunned
+
+constexpr double kPaceGain = 0.3;    // weight of one answer in a server's pace
+constexpr double kPaceMemory = 20;   // s; fades to the usual, or a slow server is never met again
+constexpr double kPriceWeight = 50;  // a crossing's price of 0.01 makes a server look half as busy again
+
+constexpr double kLatencyGain = 0.05;  // weight of one sample in the latency estimates
+constexpr double kDeviations = 15;     // deviations over the mean before an attempt is given up
+constexpr double kRetryShare = 0.1;    // further attempts per first one
+constexpr double kRetryBurst = 1;      // further attempts saved up at most
+constexpr double kRewatch = 0.5;       // s; first wait before asking for the members again, then doubled
+constexpr double kLogPeriod = 10;      // s; least time between two log lines of a kind
+constexpr std::uint64_t kWatchTimer = 0;
+
+constexpr double kForever = std::numeric_limits<double>::infinity();
+
+// Which outcomes prove that an attempt never ran. Danger: taking an unknown end for harmless repeats effects.
+bool never_ran(Outcome outcome) {
+  return outcome == Outcome::kRejected || outcome == Outcome::kDialFailed || outcome == Outcome::kNotSent;
+}
+
+// The answer time without queues, as a part of the aim: falls soon, rises slowly. Danger: the first answers
+// of a start are those of the quickest calls; a bound learned from them starves the tier.
+struct IdleTime {
+  Estimate usual;
+  double base = kStartBase, at = 0;
+  bool learned = false;
+  void add(double now, double part_of_aim) {
+    if (usual.samples == 0) at = now + kBaseSettle;
+    usual.add(part_of_aim, kBaseGain);
+    if (now < at || usual.samples < kBaseCalls) return;
+    if (!learned) base = usual.mean;
+    const double step = (now - at) / (usual.mean < base ? kBaseFall : kBaseRise);
+    base = std::min(base + (usual.mean - base) * std::min(1.0, step), kMostBase);
+    learned = true;
+    at = now;
+  }
+};
+
+struct TenantState {
+  SlidingWindow window{kBucket, kWindowBuckets, 10};  // 10: 1000 ms, the short rate of the source
+  double limit = kForever, start = kForever, floor = 0, worth = 1;  // worth: of what exceeds the start
+  double factor = 0, factor_until = -kForever;
+};
+
+struct ServerNode {
+  Server told;
+  std::uint64_t order = 0, listed = 0;  // listed: in which membership update it was told last
+  int in_flight = 0;
+  double failing = 0, failing_at = 0;  // failure average and when it was last brought up to date
+  int failures_in_row = 0;
+  double cold_tokens = 0, cold_at = 0;
+  FadingRate answered{kAnsweredMemory};
+  IdleTime idle;
+  Estimate recent;  // answer time now, as a part of the aim
+  bool slow = false;
+  double met_at = 0;
+  Estimate pace{1, 0, 0};             // answer time against the usual of the same class
+  double paced_at = 0, sent_sum = 0;  // sent_sum: over the calls in flight, of when they were sent
+};
+
+}  // namespace
+
+double suppression_factor(double rate_limit, double window_rate, double last_second_rate) {
+  const double perceived = std::max(window_rate, last_second_rate);
+  return perceived <= 0 ? 0 : std::clamp(1 - rate_limit / perceived, 0.0, 1.0);
+}
+
+// Evenly spaced starts on a ring: any two servers differ by at most one in how many copies use them, and a
+// server that leaves moves each start by one place at most.
+std::vector<std::size_t> subset_of(std::size_t copy_index, std::size_t copy_count, std::size_t servers,
+                                   std::size_t size) {
+  std::vector<std::size_t> out;
+  if (servers == 0 || copy_count == 0) return out;
+  const std::size_t start = copy_index * servers / copy_count;
+  for (std::size_t i = 0; i < std::min(size, servers); ++i) out.push_back((start + i) % servers);
+  return out;
+}
+
+class Balancer::Impl {
+ public:
+  Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
+    validate(settings);
+    settings_.classes.emplace_back();  // what is out of range lands here: unsafe, no aim of its own
+    settings_.classes.back().give_up = settings_.classes.back().aim = kForever;
+    for (const RequestClass& c : settings_.classes) {
+      const double aim = std::min(c.aim, 60.0);
+      latency_.push_back({aim / 4, aim / 8, 0});
+    }
+    for (const RequestClass& c : settings.classes) aim_.add(c.aim, 0);
+    settings_.tenants.emplace_back();
+    for (const Tenant& told : settings_.tenants) tenants_.push_back(first_limit(told));
+  }
+
+  void handle(double now, const Event& event, std::vector<Action>& actions) {
+    now_ = now;
+    out_ = &actions;
+    std::visit([this](const auto& e) { on(e); }, event);
+  }
+
+  TenantView view(double now, std::size_t tenant) const {
+    const TenantState& t = tenants_[std::min(tenant, tenants_.size() - 1)];
+    const SlidingWindow::Sums sums = t.window.sums(now);
+    return {t.limit, factor_of(t, sums), sums.total, sums.declined};
+  }
+
+ private:
+  // ---------------------------------------------------------------- admit?
+
+  TenantState first_limit(const Tenant& told) const {
+    TenantState t;
+    if (told.allowance) {
+      const double part = *told.allowance / settings_.copy_count;
+      t.floor = part * (settings_.tier == 0 ? kFloor : kDeepFloor);
+      t.worth = settings_.over_share_worth;
+      t.limit = t.start = std::max(t.floor, part * kStartShare + kNoise * std::sqrt(part / kWindow));
+    }
+    return t;
+  }
+
+  static double factor_of(const TenantState& t, const SlidingWindow::Sums& sums) {
+    const double soft = t.limit * kWindow;
+    if (sums.accepted() < soft) return 0;
+    if (sums.total >= soft * kHardLimitFactor) return 1;
+    return suppression_factor(t.limit, sums.total / kWindow, sums.last_second);
+  }
+
+  // The factor is cached as in the source, but for its ends: those are two comparisons.
+  bool admits(TenantState& t) {
+    double factor = factor_of(t, t.window.sums(now_));
+    if (factor > 0 && factor < 1) {
+      if (now_ >= t.factor_until) {
+        t.factor = factor;
+        t.factor_until = now_ + kFactorCache;
+      }
+      factor = t.factor;
+    }
+    const bool admit = factor == 0 || random_.unit() >= factor;
+    t.window.add(now_, !admit);
+    return admit;
+  }
+
+  // Learns a tenant's limit, a step with each call that ends. Danger: calls end a feedback delay after they
+  // were let in; a second in which all end badly takes kStep of a limit and no more, however high it is.
+  void review(TenantState& t, bool bad) {
+    if (!std::isfinite(t.limit)) return;
+    const double step = std::min(kMostStep, kStep / t.limit);
+    if (bad) {
+      t.limit = std::max(t.floor, t.limit * (1 - step));
+    } else if (t.window.sums(now_).accepted() > t.limit * kWindow / 2) {
+      t.limit *= 1 + step * kBadShare * (t.limit > t.start ? t.worth : 1);
+    }
+  }
+
+  // ---------------------------------------------------------------- who is there?
+
+  void learn(const Server& told) {
+    const auto [it, unknown] = by_address_.try_emplace(told.address, servers_.size());
+    if (unknown) servers_.emplace_back().order = hash_of(told.address);
+    ServerNode& s = servers_[it->second];
+    if (unknown || told.started != s.told.started || s.told.state == ServerState::kGone) {
+      ServerNode fresh;  // another process: what the last one did says nothing
+      fresh.order = s.order;
+      fresh.in_flight = s.in_flight;
+      fresh.sent_sum = s.sent_sum;
+      fresh.met_at = fresh.cold_at = now_;
+      fresh.cold_tokens = random_.unit();  // copies hear of a start together and must not send together
+      s = fresh;
+    }
+    s.told = told;
+    s.listed = listing_;
+    if (!(s.told.weight > 0)) s.told.weight = 1;
+  }
+
+  std::vector<std::size_t> own_part(const std::vector<std::size_t>& from) const {
+    const std::size_t index = static_cast<std::size_t>(settings_.copy_index);
+    const std::size_t count = static_cast<std::size_t>(settings_.copy_count);
+    // Danger: a subset of fixed size leaves servers without any caller where copies are few.
+    const std::size_t size = std::max(kSubset, (kCover * from.size() + count - 1) / count);
+    std::vector<std::size_t> out;
+    for (const std::size_t at : subset_of(index, count, from.size(), size)) out.push_back(from[at]);
+    return out;
+  }
+
+  bool is_away(const ServerNode& s) const {
+    return settings_.cross_zone_price > 0 && s.told.zone != settings_.zone;
+  }
+
+  void rebuild_subset() {
+    ring_.clear();
+    ready_weight_ = 0;
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      if (servers_[i].told.state != ServerState::kReady) continue;
+      ring_.push_back(i);
+      ready_weight_ += servers_[i].told.weight;
+    }
+    std::sort(ring_.begin(), ring_.end(),
+              [this](std::size_t a, std::size_t b) { return servers_[a].order < servers_[b].order; });
+    const auto away = std::stable_partition(ring_.begin(), ring_.end(),
+                                            [this](std::size_t i) { return !is_away(servers_[i]); });
+    subset_ = own_part({ring_.begin(), away});
+    const std::vector<std::size_t> others = own_part({away, ring_.end()});
+    subset_.insert(subset_.end(), others.begin(), others.end());
+    sharers_ = std::max(1.0, static_cast<double>(settings_.copy_count) * static_cast<double>(subset_.size()) /
+                                 static_cast<double>(ring_.size()));
+  }
+
+  // ---------------------------------------------------------------- is it healthy?
+
+  // The failure average now: it fades, the slower the more failures came in a row.
+  double failing(const ServerNode& s) const {
+    if (s.failing == 0) return 0;
+    const double left =
+        s.failing * std::exp2((s.failing_at - now_) / (kFailHalfLife * (1 + s.failures_in_row)));
+    return left < kTrusted ? 0 : left;
+  }
+
+  void note_health(ServerNode& s, bool good) {
+    s.failing = failing(s) + kFailGain * ((good ? 0 : 1) - failing(s));
+    s.failing_at = now_;
+    s.failures_in_row = good ? 0 : std::min(s.failures_in_row + 1, 4);
+  }
+
+  // Calls that may be in flight, over all copies, where nothing is measured yet: it fades as answers come.
+  double unmeasured_room(double met_at) const {
+    return kLeastRoom + kStartRoom * std::exp((met_at - now_) / kAnsweredMemory);
+  }
+  double idle_wait() const { return idle_.base * aim_.mean; }
+
+  // Whether a further call would be answered well before its aim: calls in flight against answers a second.
+  // Danger: a queue longer than the aim feeds itself. One call has room: at many copies each has but a part.
+  bool has_room(const ServerNode& s) const {
+    const double start = unmeasured_room(s.met_at) / sharers_;
+    return s.in_flight < std::max(1.0, start + kQueueFactor * idle_wait() * s.answered.at(now_));
+  }
+
+  // The same for all servers, by a measure that is steadier; past the first tier nothing is refused for it.
+  bool tier_has_room() {
+    if (settings_.tier > 0) return true;
+    const double start = unmeasured_room(met_at_) * static_cast<double>(subset_.size()) / sharers_;
+    const double waiting = idle_wait() * answered_.at(now_);
+    // Danger: what chance needs at each of many copies is a crowd over all: it is given in calm only.
+    const double calm = std::clamp((kCrowded - recent_.mean) / (kCrowded - kCalm), 0.0, 1.0);
+    const double room = start + kTierFactor * waiting + calm * (kChance + kNoise * std::sqrt(waiting));
+    return in_flight_ + random_.unit() < std::min(knee(), room);
+  }
+
+  double knee() const { return knee_ * std::exp((now_ - knee_at_) / kKneeMemory); }
+
+  // A server that turns slow shows how many calls in flight crowd the tier, which is told nowhere. Danger:
+  // once crowded, a server stays slow for long and its calls crowd the others.
+  void find_knee(ServerNode& s) {
+    if (settings_.tier > 0 || !s.idle.learned) return;
+    const bool slow = s.recent.mean > (s.slow ? kRecovered : kSlow) * s.idle.base;
+    if (slow && !s.slow && now_ > knee_at_ + kKneePause) {
+      knee_ = std::max(1.0, kKneeDrop * std::min<double>(in_flight_, knee()));  // 0 would refuse for good
+      knee_at_ = now_;
+      out_->push_back(LogLine{"crowded: a server turned slow, in flight held to " + std::to_string(knee_)});
+    }
+    s.slow = slow;
+  }
+
+  // The part of its full capacity that a server is sure to have by now.
+  double warmth(const ServerNode& s) const {
+    if (s.told.started == 0 || settings_.ramp_time <= 0) return 1;
+    const double age = std::max(0.0, now_ - s.told.started);
+    return std::min(1.0,
+                    settings_.start_capacity + (1 - settings_.start_capacity) * age / settings_.ramp_time);
+  }
+
+  // Whether a cold server's budget at this copy has room. Danger: all copies together can push a cold server
+  // over; each spends no more than the server's part of its own traffic, scaled to what it can do so far.
+  bool budget_allows(ServerNode& s) {
+    const double warm = warmth(s);
+    if (warm >= 1) return true;
+    const double part = admitted_.at(now_) * s.told.weight / ready_weight_;
+    s.cold_tokens =
+        std::min(1.0 + part * 0.1, s.cold_tokens + (now_ - s.cold_at) * part * warm * kColdBudget);
+    s.cold_at = now_;
+    return s.cold_tokens >= 1;
+  }
+
+  // ---------------------------------------------------------------- which server?
+
+  // How slow a server is against the usual: by its last answers, or by the age of what it has not answered.
+  // Danger: at a call a second, calls in flight tell slow servers from fast ones only once queues are long.
+  double pace(const ServerNode& s) const {
+    const double learned = 1 + (s.pace.mean - 1) * std::max(0.0, 1 - (now_ - s.paced_at) / kPaceMemory);
+    const double waited = s.in_flight == 0 ? 0 : (now_ - s.sent_sum / s.in_flight) / usual_.mean;
+    return std::max({1.0, learned, waited});  // like servers stay a tie, which calls in flight decide
+  }
+
+  double busyness(const ServerNode& s) const {
+    const double trust = std::pow(1 - std::min(failing(s), 0.99), kFailPower);
+    return (s.in_flight + 1) * pace(s) * (is_away(s) ? 1 + kPriceWeight * settings_.cross_zone_price : 1) /
+           (s.told.weight * warmth(s) * trust);
+  }
+
+  bool in_scope(const Pending& p, const ServerNode& s) const {
+    const RequestClass& c = settings_.classes[p.request_class];
+    for (const Attempt& a : p.attempts) {
+      if (!a.may_have_run || c.effect == Effect::kSafe) continue;
+      if (c.effect == Effect::kUnsafe || now_ > a.sent + c.dedup_window) return false;
+      const Server& t = servers_[a.server].told;
+      if (c.dedup_scope == DedupScope::kZone && t.zone != s.told.zone) return false;
+      if (c.dedup_scope == DedupScope::kCell && t.cell != s.told.cell) return false;
+    }
+    return true;
+  }
+
+  // Gathers the servers of `from` that may be used; returns whether there are any. Past the first tier room
+  // is a wish: a refusal there wastes what was done above.
+  bool gather(const std::vector<std::size_t>& from, const Pending& p, bool healthy, bool untried, bool room) {
+    choice_.clear();
+    for (const std::size_t i : from) {
+      ServerNode& s = servers_[i];
+      if ((healthy && failing(s) >= kIll) || (untried && p.tried(i)) || (room && !has_room(s))) continue;
+      if (in_scope(p, s) && budget_allows(s)) choice_.push_back(i);
+    }
+    return !choice_.empty();
+  }
+
+  // The less busy of two random members of the subset. Where it has too few that are well, all servers stand
+  // in; where none is well the cause is shared and health does not count.
+  std::optional<std::size_t> pick(const Pending& p) {
+    if (!tier_has_room()) return std::nullopt;
+    const bool first_tier = settings_.tier == 0;
+    const bool found =
+        (gather(subset_, p, true, true, true) && choice_.size() * 2 >= subset_.size()) ||
+        gather(ring_, p, true, true, true) || (!first_tier && gather(ring_, p, true, true, false)) ||
+        gather(ring_, p, false, true, first_tier) || gather(ring_, p, false, false, first_tier);
+    if (!found) return std::nullopt;
+    std::size_t home = 0;
+    while (home < choice_.size() && !is_away(servers_[choice_[home]])) ++home;
+    const std::size_t first = random_.below(home > 0 ? home : choice_.size());
+    if (choice_.size() == 1) return choice_[first];
+    std::size_t second = random_.below(choice_.size() - 1);
+    if (second >= first) ++second;
+    const std::size_t a = choice_[first], b = choice_[second];
+    return busyness(servers_[b]) < busyness(servers_[a]) ? b : a;
+  }
+
+  // ---------------------------------------------------------------- how long?
+
+  // An attempt may run until the answer is worthless, or until it is clearly late while another can follow.
+  double timeout(const Pending& p) const {
+    const double left = p.useful_until - now_;
+    const Estimate& usual = latency_[p.request_class];
+    const double longest = usual.mean + kDeviations * usual.deviation;
+    const bool can_repeat = settings_.classes[p.request_class].effect != Effect::kUnsafe &&
+                            p.attempts.size() + 1 < static_cast<std::size_t>(settings_.max_attempts);
+    return can_repeat && left - longest > usual.mean ? longest : left;
+  }
+
+  // ---------------------------------------------------------------- again?
+
+  bool worth_another(const Pending& p) const {
+    return !p.streaming && p.attempts.size() < static_cast<std::size_t>(settings_.max_attempts) &&
+           retry_tokens_ >= 1 && p.useful_until - now_ > latency_[p.request_class].mean / 2;
+  }
+
+  // A refusal promises that a repeat is harmless: only when nothing can have run, or repeats are dropped.
+  bool may_refuse(const Pending& p) const {
+    const RequestClass& c = settings_.classes[p.request_class];
+    if (c.effect == Effect::kSafe) return true;
+    if (c.effect == Effect::kKeyed && c.dedup_scope == DedupScope::kAll) return true;
+    return !p.may_have_run();
+  }
+
+  // ---------------------------------------------------------------- doing it
+
+  bool send(const std::string& id, Pending& p) {
+    const double limit = timeout(p);
+    const std::optional<std::size_t> server = limit > 0 ? pick(p) : std::nullopt;
+    if (!server) return false;
+    ServerNode& s = servers_[*server];
+    retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + (p.attempts.empty() ? kRetryShare : -1));
+    if (warmth(s) < 1) s.cold_tokens -= 1;
+    s.in_flight += 1;
+    s.sent_sum += now_;
+    in_flight_ += 1;
+    p.attempts.push_back({*server, now_});
+    out_->push_back(Send{id, s.told.address, limit});
+    return true;
+  }
+
+  void answer_unserved(const std::string& id, Pending& p) {
+    p.finished = true;
+    if (!may_refuse(p)) return out_->push_back(Fail{id});
+    out_->push_back(Refuse{id, settings_.max_retry_after / 2});
+  }
+
+  void note_shed(int& count) {
+    if (denied_ + unplaced_ == 0) next_log_ = now_ + kLogPeriod;
+    ++count;
+    if (now_ < next_log_) return;
+    out_->push_back(LogLine{"shedding: " + std::to_string(denied_) + " over their tenant's limit, " +
+                            std::to_string(unplaced_) + " without a server with room"});
+    denied_ = unplaced_ = 0;
+  }
+
+  void cancel_open(const std::string& id, const Pending& p) {
+    if (!settings_.can_cancel || p.streaming) return;
+    for (std::size_t i = 0; i < p.attempts.size(); ++i) {
+      if (p.attempts[i].open) out_->push_back(Cancel{id, static_cast<int>(i)});
+    }
+  }
+
+  // ---------------------------------------------------------------- events
+
+  void on(const Started&) {
+    if (settings_.must_watch) out_->push_back(WatchMembers{});
+  }
+
+  void on(const Request& r) {
+    if (pending_.contains(r.id)) return;  // an id that is still open: one answer is owed, not two
+    const std::size_t tenant = std::min(r.tenant, tenants_.size() - 1);
+    if (!admits(tenants_[tenant])) {
+      out_->push_back(Refuse{r.id, settings_.max_retry_after / 2});
+      note_shed(denied_);
+      return;
+    }
+    admitted_.add(now_);
+    const auto it = pending_.try_emplace(r.id).first;
+    Pending& p = it->second;
+    p.tenant = tenant;
+    p.request_class = std::min(r.request_class, settings_.classes.size() - 1);
+    const RequestClass& c = settings_.classes[p.request_class];
+    if (std::isfinite(c.aim)) aim_.add(std::min(c.aim, c.give_up), kLatencyGain);
+    const double aim = std::min(c.aim + c.aim_stretch * r.work.value_or(0), c.give_up);
+    p.useful_until = now_ + std::min(r.time_left, c.late_worth > 0 ? r.time_left : aim - 2 * settings_.tick);
+    if (send(r.id, p)) return;
+    review(tenants_[tenant], true);
+    note_shed(unplaced_);
+    answer_unserved(r.id, p);
+    pending_.erase(it);
+  }
+
+  void on(const AttemptResult& r) {
+    const auto it = pending_.find(r.id);
+    if (it == pending_.end()) return;
+    Pending& p = it->second;
+    if (r.attempt < 0 || static_cast<std::size_t>(r.attempt) >= p.attempts.size()) return;
+    Attempt& a = p.attempts[static_cast<std::size_t>(r.attempt)];
+    if (!a.open) return;
+    a.open = false;
+    a.may_have_run = !never_ran(r.outcome);
+    ServerNode& s = servers_[a.server];
+    s.in_flight -= 1;
+    s.sent_sum -= a.sent;
+    in_flight_ -= 1;
+    learn_from(p, s, r);
+    if (r.request_done && !p.finished) {
+      p.finished = true;
+      cancel_open(r.id, p);
+    }
+    if (!p.finished && !p.any_open() && !(worth_another(p) && send(r.id, p))) answer_unserved(r.id, p);
+    if (p.finished && !p.any_open()) pending_.erase(it);
+  }
+
+  void learn_from(const Pending& p, ServerNode& s, const AttemptResult& r) {
+    const bool was_well = failing(s) < kIll;
+    if (r.outcome == Outcome::kCancelled || r.outcome == Outcome::kNotSent) return;
+    const bool answered = r.outcome == Outcome::kDelivered;
+    if (r.outcome != Outcome::kRejected) note_health(s, answered);
+    const double aim = settings_.classes[p.request_class].aim;
+    const double part_of_aim = aim > 0 ? r.elapsed / aim : 0;
+    if (answered) {
+      s.answered.add(now_);
+      answered_.add(now_);
+      idle_.add(now_, part_of_aim);
+      s.idle.add(now_, part_of_aim);
+    }
+    if (answered || r.outcome == Outcome::kTimedOut) {
+      Estimate& latency = latency_[p.request_class];
+      s.pace.add(latency.mean > 0 ? r.elapsed / latency.mean : 1, kPaceGain);
+      s.paced_at = now_;
+      usual_.add(r.elapsed, kLatencyGain);
+      recent_.add(part_of_aim, kRecentGain);
+      latency.add(r.elapsed, kLatencyGain);
+      s.recent.add(part_of_aim, kRecentGain);
+      find_knee(s);
+    }
+    // As the design has it, failures cut and answers in time raise a limit; one sick server cuts no tenant.
+    if (answered ? part_of_aim < kInTime : was_well) review(tenants_[p.tenant], !answered);
+  }
+
+  void on(const AnswerStarted& r) {
+    const auto it = pending_.find(r.id);
+    if (it != pending_.end()) it->second.streaming = true;
+  }
+
+  void on(const RequestGone& r) {
+    const auto it = pending_.find(r.id);
+    if (it == pending_.end()) return;
+    if (!it->second.finished) cancel_open(r.id, it->second);
+    it->second.finished = true;
+    if (!it->second.any_open()) pending_.erase(it);
+  }
+
+  void on(const MembershipUpdate& update) {
+    if (update.form == MembershipUpdate::Form::kFailed) {
+      if (!settings_.must_watch) return;
+      const double most = settings_.ask_within > 0 ? settings_.ask_within / 2 : 5;
+      out_->push_back(SetTimer{now_ + std::min(rewatch_, most) * (0.5 + random_.unit() / 2), kWatchTimer});
+      rewatch_ = std::min(rewatch_ * 2, most);
+      return;
+    }
+    rewatch_ = kRewatch;
+    met_at_ = std::min(met_at_, now_);
+    ++listing_;
+    for (const Server& told : update.servers) learn(told);
+    if (update.form == MembershipUpdate::Form::kFull) {
+      for (ServerNode& s : servers_) {
+        if (s.listed != listing_) s.told.state = ServerState::kGone;
+      }
+    }
+    rebuild_subset();
+  }
+
+  void on(const TimerFired& timer) {
+    if (timer.token == kWatchTimer && settings_.must_watch) out_->push_back(WatchMembers{});
+  }
+
+  Settings settings_;
+  Random random_;
+  double now_ = 0;
+  std::vector<Action>* out_ = nullptr;
+  std::vector<TenantState> tenants_;
+  Estimate aim_;                                  // of the calls that come
+  Estimate usual_{1, 0, 0};                       // s; answer time over all servers and classes
+  IdleTime idle_;                                 // of the tier
+  Estimate recent_;                               // answer time now, as a part of the aim
+  double knee_ = kForever, knee_at_ = -kForever;  // calls in flight at which servers began to slow down
+  std::vector<Estimate> latency_;                 // by class
+  std::vector<ServerNode> servers_;
+  std::unordered_map<std::string, std::size_t> by_address_;
+  std::vector<std::size_t> ring_, subset_, choice_;
+  double ready_weight_ = 0, sharers_ = 1;  // sharers: copies that use the same server
+  FadingRate admitted_{kAdmittedMemory}, answered_{kAnsweredMemory};
+  int in_flight_ = 0;
+  double met_at_ = kForever;
+  std::uint64_t listing_ = 0;
+  double retry_tokens_ = kRetryBurst;
+  double rewatch_ = kRewatch;
+  int denied_ = 0, unplaced_ = 0;  // since the last log line
+  double next_log_ = 0;
+  std::unordered_map<std::string, Pending> pending_;  // looked up, never walked: order would not be stable
+};
+
+Balancer::Balancer(const Settings& s, std::uint64_t seed) : impl_(std::make_unique<Impl>(s, seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::handle(double now, const Event& event, std::vector<Action>& actions) {
+  impl_->handle(now, event, actions);
+}
+
+TenantView Balancer::tenant(double now, std::size_t tenant) const { return impl_->view(now, tenant); }
+
+}  // namespace marlspread
--- /dev/null
+++ b/tests/property_test.cpp
@@ -0,0 +1,224 @@
+// The rules under anything: long seeded sequences of events over many settings, watched by a checker that is
+// written from the rules' wording and shares nothing with the module.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+#include <random>
+
+#include "harness.h"
+
+namespace marlspread {
+namespace {
+
+struct Sent {
+  std::string server;
+  double at = 0;
+  bool open = true;
+  bool may_have_run = true;  // until an outcome proves that it never did
+};
+
+struct Held {
+  std::size_t request_class = 0;
+  double due = 0;  // when the client gives up
+  std::vector<Sent> sent;
+  bool concluded = false;  // the request has its final answer, or nobody waits for one
+};
+
+// Everything that a host knows: what it told the copy and what the copy asked for.
+class Watcher {
+ public:
+  Watcher(const Settings& settings, std::uint64_t seed)
+      : settings_(settings), copy_(settings, seed), dice_(seed) {}
+
+  void play(int steps) {
+    tell({MembershipUpdate::Form::kFull, some_servers()});
+    for (int i = 0; i < steps && !testing::Test::HasFailure(); ++i) {
+      now_ += roll(20) == 0 ? 5.0 * part() : 0.02 * part();  // mostly steady, sometimes a jump
+      expire();
+      step(i);
+    }
+    now_ += 100;
+    expire();
+    for (const auto& [id, held] : held_) {
+      EXPECT_TRUE(held.concluded) << id << " never got a final answer";
+    }
+  }
+
+ private:
+  int roll(int sides) { return static_cast<int>(dice_() % static_cast<unsigned>(sides)); }
+  double part() { return static_cast<double>(roll(1000)) / 1000; }
+
+  std::vector<Server> some_servers() {
+    std::vector<Server> out;
+    for (int i = 0; i < 12; ++i) {
+      if (roll(4) == 0) continue;
+      Server s = server(i, i % 2, i / 3);
+      if (roll(3) == 0) s.started = now_ - part();
+      s.state = static_cast<ServerState>(roll(5) < 3 ? 0 : roll(3));
+      out.push_back(s);
+    }
+    return out;
+  }
+
+  void tell(const MembershipUpdate& update) {
+    if (update.form == MembershipUpdate::Form::kFull) usable_.clear();
+    for (const Server& s : update.servers) {
+      told_[s.address] = s;
+      usable_[s.address] = s.state == ServerState::kReady;
+    }
+    check(copy_.at(now_, update));
+  }
+
+  // The host ends what runs out of time, as a wire would: a time-out for each open attempt.
+  void expire() {
+    for (auto& [id, held] : held_) {
+      if (now_ < held.due) continue;
+      for (std::size_t i = 0; i < held.sent.size(); ++i) {
+        if (held.sent[i].open) end(id, held, i, Outcome::kTimedOut);
+      }
+    }
+  }
+
+  void end(const std::string& id, Held& held, std::size_t attempt, Outcome outcome) {
+    Sent& sent = held.sent[attempt];
+    sent.open = false;
+    sent.may_have_run = !proves_unrun(outcome);
+    if (outcome == Outcome::kDelivered) held.concluded = true;
+    const AttemptResult result{id, static_cast<int>(attempt), outcome, now_ - sent.at, held.concluded};
+    check(copy_.at(now_, result));
+    if (roll(8) != 0) return;
+    EXPECT_TRUE(copy_.at(now_, result).empty()) << "the same outcome twice";
+  }
+
+  void step(int i) {
+    const int what = roll(10);
+    if (what < 4) {
+      const std::string id = "r" + std::to_string(i);
+      Held& held = held_[id];
+      held.request_class = static_cast<std::size_t>(roll(static_cast<int>(settings_.classes.size())));
+      const double left = roll(30) == 0 ? 0 : 6 * part();
+      held.due = now_ + left;
+      Request r;
+      r.id = id;
+      r.request_class = held.request_class;
+      r.tenant = static_cast<std::size_t>(roll(3));
+      r.time_left = left;
+      check(copy_.at(now_, r));
+      EXPECT_TRUE(held.concluded || any_open(held)) << id << " is held with nothing out";
+    } else if (what < 8) {
+      end_some();
+    } else if (what == 8 && !held_.empty()) {
+      auto it = held_.lower_bound("r" + std::to_string(roll(std::max(1, i))));
+      if (it == held_.end() || it->second.concluded) return;
+      it->second.concluded = true;  // the client left
+      check(copy_.at(now_, RequestGone{it->first}));
+    } else if (roll(4) == 0) {
+      const int form = roll(3);
+      tell({static_cast<MembershipUpdate::Form>(form), form == 2 ? std::vector<Server>() : some_servers()});
+    } else {
+      check(copy_.at(now_, TimerFired{static_cast<std::uint64_t>(roll(3))}));
+    }
+  }
+
+  void end_some() {
+    std::vector<std::pair<std::string, std::size_t>> open;
+    for (const auto& [id, held] : held_) {
+      for (std::size_t i = 0; i < held.sent.size(); ++i) {
+        if (held.sent[i].open) open.emplace_back(id, i);
+      }
+    }
+    if (open.empty()) return;
+    const auto& [id, attempt] = open[static_cast<std::size_t>(roll(static_cast<int>(open.size())))];
+    end(id, held_[id], attempt, roll(2) == 0 ? Outcome::kDelivered : static_cast<Outcome>(roll(9)));
+  }
+
+  static bool any_open(const Held& held) {
+    for (const Sent& sent : held.sent) {
+      if (sent.open) return true;
+    }
+    return false;
+  }
+
+  void check(const std::vector<Action>& actions) {
+    for (const Action& action : actions) {
+      if (const auto* send = std::get_if<Send>(&action)) check_send(*send);
+      if (const auto* refuse = std::get_if<Refuse>(&action)) check_final(refuse->id, true);
+      if (const auto* fail = std::get_if<Fail>(&action)) check_final(fail->id, false);
+      if (const auto* cancel = std::get_if<Cancel>(&action)) {
+        EXPECT_TRUE(settings_.can_cancel);
+        EXPECT_LT(static_cast<std::size_t>(cancel->attempt), held_[cancel->id].sent.size());
+      }
+    }
+  }
+
+  void check_final(const std::string& id, bool refused) {
+    Held& held = held_.at(id);
+    EXPECT_FALSE(held.concluded) << id << " got two final answers";
+    held.concluded = true;
+    const RequestClass& c = settings_.classes[held.request_class];
+    const bool harmless =
+        c.effect == Effect::kSafe || (c.effect == Effect::kKeyed && c.dedup_scope == DedupScope::kAll);
+    if (!refused || harmless) return;
+    for (const Sent& sent : held.sent)
+      EXPECT_FALSE(sent.may_have_run) << id << " refused, but it may have run";
+  }
+
+  void check_send(const Send& send) {
+    Held& held = held_.at(send.id);
+    EXPECT_FALSE(held.concluded) << send.id << " sent after its final answer";
+    EXPECT_TRUE(usable_[send.server]) << send.server << " drains, is gone or was never told";
+    EXPECT_GT(send.timeout, 0);
+    EXPECT_LE(now_ + send.timeout, held.due + 1e-9) << "no time would be left for a final answer";
+    EXPECT_LT(held.sent.size(), static_cast<std::size_t>(settings_.max_attempts));
+    const RequestClass& c = settings_.classes[held.request_class];
+    for (const Sent& before : held.sent) {
+      EXPECT_TRUE(settings_.second_copies || !before.open) << send.id << " has two attempts out";
+      if (c.effect == Effect::kSafe || !before.may_have_run) continue;
+      EXPECT_NE(c.effect, Effect::kUnsafe) << send.id << " may run twice";
+      EXPECT_LE(now_, before.at + c.dedup_window) << send.id << " after the servers forgot it";
+      const Server& a = told_[before.server];
+      const Server& b = told_[send.server];
+      EXPECT_TRUE(c.dedup_scope != DedupScope::kZone || a.zone == b.zone) << "another zone may repeat it";
+      EXPECT_TRUE(c.dedup_scope != DedupScope::kCell || a.cell == b.cell) << "another cell may repeat it";
+    }
+    held.sent.push_back({send.server, now_});
+  }
+
+  Settings settings_;
+  Copy copy_;
+  std::mt19937 dice_;
+  double now_ = 50;
+  std::map<std::string, Held> held_;
+  std::map<std::string, Server> told_;
+  std::map<std::string, bool> usable_;
+};
+
+TEST(Property, TheRulesHoldUnderAnything) {
+  for (unsigned seed = 1; seed <= 120 && !HasFailure(); ++seed) {
+    std::mt19937 dice(seed);
+    const auto roll = [&](int sides) { return static_cast<int>(dice() % static_cast<unsigned>(sides)); };
+    Settings s = basic_settings();
+    s.classes = {class_of(Effect::kSafe), class_of(Effect::kKeyed, static_cast<DedupScope>(roll(3))),
+                 class_of(Effect::kUnsafe)};
+    for (RequestClass& c : s.classes) {
+      c.late_worth = roll(2) * 0.5;
+      c.dedup_window = 0.5 + roll(8);
+    }
+    s.copy_count = 1 + roll(400);
+    s.copy_index = roll(s.copy_count);
+    s.tier = roll(3);
+    s.max_attempts = 1 + roll(5);
+    s.can_cancel = roll(2) == 0;
+    s.must_watch = roll(2) == 0;
+    s.start_capacity = 0.2;
+    s.ramp_time = roll(10);
+    s.cross_zone_price = roll(2) * 0.01;
+    s.tenants = {{1.0 + roll(3000)}, {}};
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Watcher(s, seed).play(1500);
+  }
+}
+
+}  // namespace
+}  // namespace marlspread
