--- a/adapter/wirehost.cpp
+++ b/adapter/wirehost.cpp
@@ -16,6 +16,7 @@
 #include "rapidjson/error/en.h"
 #include "rapidjson/stringbuffer.h"
 #include "rapidjson/writer.h"
+#include "settings_reader.h"
 
 namespace {
 
@@ -23,138 +24,7 @@
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 namespace ms = marlspread;
 
-// What is wrong with a message; the text names the field.
-struct BadMessage : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-const Json* find(const Json& object, const char* field) {
-  if (!object.IsObject()) throw BadMessage(std::string("not an object where field '") + field + "' belongs");
-  const auto it = object.FindMember(field);
-  return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
-}
-
-const Json& need(const Json& object, const char* field) {
-  const Json* value = find(object, field);
-  if (value == nullptr) throw BadMessage(std::string("field '") + field + "' is missing");
-  return *value;
-}
-
-[[noreturn]] void wrong(const char* field, const char* wanted) {
-  throw BadMessage(std::string("field '") + field + "' is not " + wanted);
-}
-
-double number(const Json& object, const char* field) {
-  const Json& value = need(object, field);
-  if (!value.IsNumber()) wrong(field, "a number");
-  return value.GetDouble();
-}
-
-double number_or(const Json& object, const char* field, double otherwise) {
-  return find(object, field) == nullptr ? otherwise : number(object, field);
-}
-
-int whole(const Json& object, const char* field) {
-  const Json& value = need(object, field);
-  if (value.IsInt()) return value.GetInt();
-  wrong(field, "a whole number in range");
-}
-
-int whole_or(const Json& object, const char* field, int otherwise) {
-  return find(object, field) == nullptr ? otherwise : whole(object, field);
-}
-
-std::size_t index_or_zero(const Json& object, const char* field) {
-  const int value = whole_or(object, field, 0);
-  if (value < 0) wrong(field, "a whole number in range");
-  return static_cast<std::size_t>(value);
-}
-
-bool flag(const Json& object, const char* field) {
-  const Json* value = find(object, field);
-  if (value == nullptr) return false;
-  if (!value->IsBool()) wrong(field, "true or false");
-  return value->GetBool();
-}
-
-std::string_view text(const Json& object, const char* field) {
-  const Json& value = need(object, field);
-  if (!value.IsString()) wrong(field, "a string");
-  return {value.GetString(), value.GetStringLength()};
-}
-
-std::uint64_t token(const Json& object, const char* field) {
-  const Json& value = need(object, field);
-  if (!value.IsUint64()) wrong(field, "a whole number from 0");
-  return value.GetUint64();
-}
-
-const Json& array(const Json& object, const char* field) {
-  const Json& value = need(object, field);
-  if (!value.IsArray()) wrong(field, "an array");
-  return value;
-}
-
-ms::RequestClass read_class(const Json& in) {
-  ms::RequestClass out;
-  out.aim = number(in, "aim");
-  out.aim_stretch = number_or(in, "aimStretch", 0);
-  out.give_up = number(in, "giveUp");
-  out.late_worth = number_or(in, "lateWorth", 0);
-  const std::string_view effect = text(in, "effect");
-  if (effect == "safe") {
-    out.effect = ms::Effect::kSafe;
-  } else if (effect == "keyed") {
-    out.effect = ms::Effect::kKeyed;
-    const std::string_view group = text(in, "group");
-    if (group == "all") {
-      out.dedup_scope = ms::DedupScope::kAll;
-    } else if (group == "zone") {
-      out.dedup_scope = ms::DedupScope::kZone;
-    } else if (group == "cell") {
-      out.dedup_scope = ms::DedupScope::kCell;
-    } else {
-      throw std::invalid_argument("categories[].group: '" + std::string(group) + "' is unknown");
-    }
-    out.dedup_window = number_or(in, "dedupWindow", 0);
-  } else if (effect == "unsafe") {
-    out.effect = ms::Effect::kUnsafe;
-  } else {
-    throw std::invalid_argument("categories[].effect: '" + std::string(effect) + "' is unknown");
-  }
-  return out;
-}
-
-ms::Settings read_settings(const Json& in) {
-  ms::Settings out;
-  out.copy_index = whole(in, "position");
-  out.copy_count = whole(in, "peersTotal");
-  out.tier = whole_or(in, "stage", 0);
-  out.zone = whole_or(in, "zone", 0);
-  out.tick = number_or(in, "granularity", 0);
-  for (const Json& item : array(in, "categories").GetArray()) out.classes.push_back(read_class(item));
-  if (find(in, "realms") != nullptr) {
-    for (const Json& item : array(in, "realms").GetArray()) {
-      ms::Tenant tenant;
-      if (find(item, "allowancePerS") != nullptr) tenant.allowance = number(item, "allowancePerS");
-      out.tenants.push_back(tenant);
-    }
-  }
-  out.over_share_worth = number_or(in, "overShareWorth", 1);
-  const Json& bounds = need(in, "bounds");
-  out.max_attempts = whole_or(bounds, "maxAttempts", 1);
-  out.second_copies = flag(bounds, "secondCopies");
-  out.can_cancel = flag(bounds, "cancel");
-  out.max_retry_after = flag(bounds, "retryAfter") ? number_or(bounds, "maxRetryAfter", 0) : 0;
-  out.must_watch = find(in, "registryMode") != nullptr && text(in, "registryMode") == "subscribe";
-  if (const Json* rules = find(in, "rules")) {
-    out.ask_within = number_or(*rules, "askWithin", 0);
-    out.start_capacity = number_or(*rules, "startCapacity", 1);
-    out.ramp_time = number_or(*rules, "rampTime", 0);
-  }
-  if (const Json* fees = find(in, "fees")) out.cross_zone_price = number_or(*fees, "crossZone", 0);
-  return out;
-}
+using namespace ms::json;  // the field readers, named all over this file
 
 ms::Outcome read_outcome(std::string_view name) {
   if (name == "delivered") return ms::Outcome::kDelivered;
--- /dev/null
+++ b/node/config.cpp
@@ -0,0 +1,95 @@
+#include "config.h"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <string_view>
+
+#include "rapidjson/error/en.h"
+#include "settings_reader.h"
+
+namespace marlspread::node {
+namespace {
+
+std::uint64_t read_seed(const json::Value& in) {
+  const std::string_view digits = json::text(in, "seed");
+  std::uint64_t out = 0;
+  const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), out, 16);
+  if (problem != std::errc() || end != digits.data() + digits.size()) {
+    json::wrong("seed", "a hexadecimal number");
+  }
+  return out;
+}
+
+boost::asio::ip::tcp::endpoint read_endpoint(const json::Value& in, const char* field) {
+  const auto out = parse_endpoint(json::text(in, field));
+  if (!out) json::wrong(field, "an address with a port");
+  return *out;
+}
+
+double positive(const json::Value& in, const char* field, double otherwise) {
+  const double out = json::number_or(in, field, otherwise);
+  if (!(out > 0 && out < 1e6)) json::wrong(field, "a number above 0");
+  return out;
+}
+
+std::vector<std::string> names_of(const json::Value& list) {
+  std::vector<std::string> out;
+  for (const json::Value& item : list.GetArray()) out.emplace_back(json::text(item, "name"));
+  return out;
+}
+
+}  // namespace
+
+Config read_config(const std::string& path, const Clock& clock) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw std::runtime_error("RELAY_CONFIG: cannot read " + path);
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  rapidjson::Document in;
+  in.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (in.HasParseError()) {
+    throw std::runtime_error(std::string("RELAY_CONFIG: not valid JSON: ") +
+                             rapidjson::GetParseError_En(in.GetParseError()) + " at byte " +
+                             std::to_string(in.GetErrorOffset()));
+  }
+  Config out;
+  out.name = json::find(in, "name") != nullptr ? std::string(json::text(in, "name")) : "node";
+  out.listen = read_endpoint(in, "listen");
+  out.discovery = read_endpoint(in, "discovery");
+  out.seed = read_seed(in);
+  constexpr int kUsualSockets = 1024, kFewestSockets = 64;
+  const json::Value* limits = json::find(in, "limits");
+  const int sockets = limits != nullptr ? json::whole_or(*limits, "sockets", kUsualSockets) : kUsualSockets;
+  if (sockets < kFewestSockets) json::wrong("sockets", "at least 64");
+  out.sockets = static_cast<std::size_t>(sockets);
+
+  const json::Value& settings = json::need(in, "settings");
+  out.settings = json::read_settings(settings);
+  out.class_names = names_of(json::array(settings, "categories"));
+  if (json::find(settings, "realms") != nullptr) out.tenant_names = names_of(json::array(settings, "realms"));
+  if (json::find(settings, "azs") != nullptr) {
+    for (const json::Value& zone : json::array(settings, "azs").GetArray()) {
+      if (!zone.IsString()) json::wrong("azs", "an array of strings");
+      out.directory.zones.emplace_back(zone.GetString(), zone.GetStringLength());
+    }
+  }
+  const json::Value& bounds = json::need(settings, "bounds");
+  constexpr double kUsualDial = 0.25, kUsualIdle = 5;
+  out.dial_timeout = positive(bounds, "dialTimeout", kUsualDial);
+  out.idle_close = positive(bounds, "idleClose", kUsualIdle);
+  constexpr int kUsualOpen = 20000;
+  const int max_open = json::whole_or(bounds, "maxOpen", kUsualOpen);
+  if (max_open < 1) json::wrong("maxOpen", "at least 1");
+  out.max_open = static_cast<std::size_t>(max_open);
+  if (const json::Value* known = json::find(in, "known")) {
+    try {
+      out.known = read_membership(*known, out.directory, clock);
+    } catch (const std::exception& problem) {
+      throw std::runtime_error(std::string("known: ") + problem.what());
+    }
+  }
+  return out;
+}
+
+}  // namespace marlspread::node
--- /dev/null
+++ b/node/discovery.cpp
@@ -0,0 +1,219 @@
+#include "discovery.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <iostream>
+#include <stdexcept>
+#include <utility>
+
+namespace marlspread::node {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+// s. An empty line comes every 2 s: two that are missed, and some lateness, tell of a watch that is dead.
+// Danger: what discovery has to tell counts as told 6 s later, so that a longer patience breaks a drain.
+constexpr double kSilence = 4.5;
+constexpr double kDial = 1.5;  // s; for the connection alone
+constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
+
+}  // namespace
+
+std::optional<tcp::endpoint> parse_endpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::string_view host = text.substr(0, colon);
+  const std::string_view digits = text.substr(colon + 1);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  std::uint16_t port = 0;
+  const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (problem != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+  error_code bad;
+  const asio::ip::address address = asio::ip::make_address(std::string(host), bad);
+  if (bad) return std::nullopt;
+  return tcp::endpoint(address, port);
+}
+
+Membership read_membership(const json::Value& in, const Directory& directory, const Clock& clock) {
+  Membership out;
+  out.index = json::token(in, "index");
+  out.full = json::flag(in, "snapshot");
+  for (const json::Value& item : json::array(in, "endpoints").GetArray()) {
+    Member member;
+    member.server.address = json::text(item, "name");
+    const std::string_view status = json::text(item, "status");
+    if (status == "up") {
+      member.server.state = ServerState::kReady;
+    } else if (status == "draining") {
+      member.server.state = ServerState::kDraining;
+    } else if (status == "removed") {
+      member.server.state = ServerState::kGone;
+    } else {
+      json::wrong("status", "up, draining or removed");
+    }
+    // One that has gone needs no more than its name.
+    if (json::find(item, "address") != nullptr || member.server.state != ServerState::kGone) {
+      const auto endpoint = parse_endpoint(json::text(item, "address"));
+      if (!endpoint) json::wrong("address", "an address with a port");
+      member.endpoint = *endpoint;
+    }
+    if (json::find(item, "zone") != nullptr) {
+      const auto at = std::find(directory.zones.begin(), directory.zones.end(), json::text(item, "zone"));
+      member.server.zone = static_cast<int>(at - directory.zones.begin());
+    }
+    member.server.cell = json::whole_or(item, "group", 0);
+    member.server.weight = json::number_or(item, "weight", 1);
+    if (json::find(item, "since_ms") != nullptr) {
+      constexpr std::uint64_t kFarthest = 1ULL << 53;
+      member.server.started =
+          clock.from_unix_ms(static_cast<std::int64_t>(std::min(json::token(item, "since_ms"), kFarthest)));
+    }
+    out.members.push_back(std::move(member));
+  }
+  return out;
+}
+
+// One call to discovery, from the dial to the end of its answer.
+class Discovery::Watch : public std::enable_shared_from_this<Watch> {
+ public:
+  explicit Watch(Discovery& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+
+  void start(const tcp::endpoint& where, std::uint64_t index) {
+    parser_.body_limit(boost::none);
+    parser_.header_limit(16 * 1024);
+    request_.method(http::verb::get);
+    std::string target = "/catalog/members?watch=1";
+    if (index > 0) target += "&after=" + std::to_string(index);
+    request_.target(target);
+    request_.version(11);
+    request_.set(http::field::host, where.address().to_string() + ":" + std::to_string(where.port()));
+    allow(kDial);
+    socket_.async_connect(where, [self = shared_from_this()](error_code problem) {
+      if (problem) return self->end();
+      self->allow(kSilence);
+      http::async_write(self->socket_, self->request_, [self](error_code bad, std::size_t) {
+        if (bad) return self->end();
+        self->read();
+      });
+    });
+  }
+
+  // Ends it without a word.
+  void abandon() {
+    owner_ = nullptr;
+    error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+
+  void end() {
+    Discovery* owner = std::exchange(owner_, nullptr);
+    error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    if (owner != nullptr) owner->end(shared_from_this());
+  }
+
+ private:
+  void allow(double seconds) {
+    timer_.expires_after(Clock::span(seconds));
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled && Clock::Steady::now() >= self->timer_.expiry()) self->end();
+    });
+  }
+
+  void read() {
+    http::async_read_some(
+        socket_, buffer_, parser_, [self = shared_from_this()](error_code bad, std::size_t) {
+          if (self->owner_ == nullptr) return;
+          if (self->parser_.is_header_done() && self->parser_.get().result() != http::status::ok) {
+            return self->end();
+          }
+          self->take(self->parser_.is_header_done());
+          if (self->owner_ == nullptr) return;
+          if (bad || self->parser_.is_done()) return self->end();
+          self->read();
+        });
+  }
+
+  // Lines come split and joined as the chunks please.
+  void take(bool any) {
+    if (!any) return;
+    std::string& body = parser_.get().body();
+    if (!body.empty()) allow(kSilence);
+    line_ += body;
+    body.clear();
+    std::size_t from = 0;
+    for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', from)) {
+      const std::string_view line = std::string_view(line_).substr(from, end - from);
+      from = end + 1;
+      if (line.find_first_not_of(" \t\r") == std::string_view::npos) continue;
+      owner_->take_line(shared_from_this(), line);
+      if (owner_ == nullptr) return;  // it was bad, or another watch has taken over
+    }
+    line_.erase(0, from);
+    if (line_.size() > kLongestLine) end();
+  }
+
+  Discovery* owner_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  http::request<http::empty_body> request_;
+  http::response_parser<http::string_body> parser_;
+  boost::beast::flat_buffer buffer_;
+  std::string line_;
+};
+
+Discovery::Discovery(asio::io_context& io, tcp::endpoint where, Directory directory, const Clock& clock,
+                     Listener listener)
+    : io_(io),
+      where_(std::move(where)),
+      directory_(std::move(directory)),
+      clock_(clock),
+      listener_(std::move(listener)) {}
+
+Discovery::~Discovery() {
+  if (watch_) watch_->abandon();
+}
+
+void Discovery::watch() {
+  if (watch_) watch_->abandon();
+  watch_ = std::make_shared<Watch>(*this);
+  watch_->start(where_, index_);
+}
+
+void Discovery::take_line(const std::shared_ptr<Watch>& from, std::string_view line) {
+  Membership update;
+  try {
+    rapidjson::Document in;
+    in.Parse<rapidjson::kParseIterativeFlag>(line.data(), line.size());
+    if (in.HasParseError()) throw std::runtime_error("not valid JSON");
+    update = read_membership(in, directory_, clock_);
+  } catch (const std::exception& problem) {
+    // The old list stays. The changes of this line are missed, so the watch starts again from before it.
+    complain(std::string("discovery: ") + problem.what());
+    return from->end();
+  }
+  complained_ = false;
+  index_ = update.index;
+  listener_.update(update);
+}
+
+void Discovery::end(const std::shared_ptr<Watch>& from) {
+  if (watch_ != from) return;
+  watch_.reset();
+  listener_.failed();
+}
+
+void Discovery::complain(const std::string& text) {
+  if (!std::exchange(complained_, true)) std::clog << text << '\n';
+}
+
+}  // namespace marlspread::node
--- /dev/null
+++ b/node/discovery.h
@@ -0,0 +1,77 @@
+// The watch on the list of servers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "clock.h"
+#include "marlspread/balancer.h"
+#include "settings_reader.h"
+
+namespace marlspread::node {
+
+// How discovery names what the module knows by number.
+struct Directory {
+  std::vector<std::string> zones;
+};
+
+struct Member {
+  Server server;  // its address is the server's name: the same at every node, which real addresses are not
+  boost::asio::ip::tcp::endpoint endpoint;
+};
+
+// A list, or what changed in it.
+struct Membership {
+  std::uint64_t index = 0;
+  bool full = false;
+  std::vector<Member> members;
+};
+
+std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
+
+// Throws std::exception, naming the field.
+Membership read_membership(const json::Value& in, const Directory& directory, const Clock& clock);
+
+class Discovery {
+ public:
+  // Exactly one of these is called as the first answer to each watch(); afterwards `update` for each change
+  // and `failed` once when the watch ends. Neither is called from within watch().
+  struct Listener {
+    std::function<void(const Membership&)> update;
+    std::function<void()> failed;
+  };
+
+  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint where, Directory directory,
+            const Clock& clock, Listener listener);
+  ~Discovery();
+  Discovery(const Discovery&) = delete;
+  Discovery& operator=(const Discovery&) = delete;
+
+  // Asks for the changes after the list in hand; a watch that is open is replaced.
+  void watch();
+  void set_index(std::uint64_t index) { index_ = index; }
+
+ private:
+  class Watch;
+  void take_line(const std::shared_ptr<Watch>& from, std::string_view line);
+  void end(const std::shared_ptr<Watch>& from);
+  void complain(const std::string& text);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint where_;
+  Directory directory_;
+  const Clock& clock_;
+  Listener listener_;
+  std::uint64_t index_ = 0;
+  std::shared_ptr<Watch> watch_;
+  bool complained_ = false;
+};
+
+}  // namespace marlspread::node
--- /dev/null
+++ b/node/dispatcher.cpp
@@ -0,0 +1,226 @@
+#include "dispatcher.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <exception>
+#include <iostream>
+#include <utility>
+#include <variant>
+
+namespace marlspread::node {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// s. Attempts end this long before the client gives up: for the way that the request has come, a loop that
+// runs late on a shared core, and the way of the answer. Danger: an answer that comes too late is a lost
+// request; one that this margin cuts off is a late one at best.
+constexpr double kMargin = 0.040;
+// s. If by then, for whatever reason, there is no answer, the node fails the request itself.
+constexpr double kGuardMargin = 0.020;
+
+}  // namespace
+
+bool Dispatcher::Held::any_open() const { return std::find(open.begin(), open.end(), true) != open.end(); }
+
+Dispatcher::Dispatcher(asio::io_context& io, const Clock& clock, const Settings& settings, std::uint64_t seed,
+                       std::size_t max_open, Upstream& upstream, std::function<void()> watch)
+    : io_(io),
+      clock_(clock),
+      balancer_(settings, seed),
+      max_open_(max_open),
+      busy_retry_after_(settings.max_retry_after / 2),
+      upstream_(upstream),
+      watch_(std::move(watch)) {}
+
+void Dispatcher::start(const Membership& known) {
+  if (!known.members.empty()) members(known);
+  happen(Started{});
+}
+
+void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to) {
+  // Turned away before the module hears of it, as the settings have it.
+  if (held_.size() >= max_open_) {
+    return answer_to({Answer::Kind::kRefused, busy_retry_after_, {}});
+  }
+  const std::string id = event.id;
+  const double now = clock_.now();
+  Held& held = held_[id];
+  held.message = std::move(message);
+  held.answer_to = std::move(answer_to);
+  held.until = now + event.time_left - kMargin;
+  held.guard = std::make_unique<asio::steady_timer>(io_, clock_.at(now + event.time_left - kGuardMargin));
+  held.guard->async_wait([this, id](error_code cancelled) {
+    if (!cancelled) overdue(id);
+  });
+  event.time_left = std::max(0.0, event.time_left - kMargin);
+  happen(std::move(event));
+}
+
+void Dispatcher::client_gone(const std::string& id) {
+  const auto at = held_.find(id);
+  if (at == held_.end() || at->second.over()) return;
+  at->second.answer_to = nullptr;
+  at->second.guard.reset();
+  happen(RequestGone{id});
+  settle(id);
+}
+
+void Dispatcher::members(const Membership& update) {
+  MembershipUpdate event;
+  event.form = update.full ? MembershipUpdate::Form::kFull : MembershipUpdate::Form::kChanges;
+  const auto set_ready = [this](bool& held, bool ready) {
+    ready_ += ready ? 1 : 0;
+    ready_ -= held ? 1 : 0;
+    held = ready;
+  };
+  std::unordered_map<std::string, bool> listed;
+  for (const Member& member : update.members) {
+    const Server& server = member.server;
+    const bool ready = server.state == ServerState::kReady;
+    upstream_.place(server.address, member.endpoint, server.started, ready);
+    set_ready(ready_by_name_[server.address], ready);
+    listed[server.address] = true;
+    event.servers.push_back(server);
+  }
+  // What a full list lacks is gone.
+  for (auto at = ready_by_name_.begin(); at != ready_by_name_.end();) {
+    if (update.full && !listed.contains(at->first)) {
+      set_ready(at->second, false);
+      upstream_.retire(at->first);
+      at = ready_by_name_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+  happen(std::move(event));
+}
+
+void Dispatcher::watch_failed() { happen(MembershipUpdate{MembershipUpdate::Form::kFailed, {}}); }
+
+// ---------------------------------------------------------------- events to actions
+
+// The module is never called from within itself: what an action brings about at once waits its turn.
+void Dispatcher::happen(Event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(handling_, true)) return;
+  while (!events_.empty()) {
+    const Event next = std::move(events_.front());
+    events_.pop_front();
+    handle(next);
+  }
+  handling_ = false;
+}
+
+void Dispatcher::handle(const Event& event) {
+  std::vector<Action> actions;
+  try {
+    balancer_.handle(clock_.now(), event, actions);
+  } catch (const std::exception& problem) {
+    // The guard of each request still answers it in time. Once a log line: the next may fail the same way.
+    if (!std::exchange(module_failed_, true)) std::clog << "module: " << problem.what() << '\n';
+  }
+  for (const Action& action : actions) {
+    std::visit([this](const auto& a) { perform(a); }, action);
+  }
+}
+
+void Dispatcher::attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
+                               HttpResponse&& response) {
+  const auto at = held_.find(id);
+  if (at == held_.end()) return;
+  Held& held = at->second;
+  held.open[static_cast<std::size_t>(attempt)] = false;
+  if (outcome == Outcome::kDelivered && !held.over()) {
+    answer(held, {Answer::Kind::kServed, 0, std::move(response)});
+  }
+  AttemptResult event;
+  event.id = id;
+  event.attempt = attempt;
+  event.outcome = outcome;
+  event.elapsed = clock_.now() - sent;
+  event.request_done = held.over();
+  happen(std::move(event));
+  settle(id);
+}
+
+// ---------------------------------------------------------------- the final answer
+
+void Dispatcher::answer(Held& held, Answer&& answer) {
+  const AnswerTo answer_to = std::exchange(held.answer_to, nullptr);
+  held.guard.reset();
+  answer_to(std::move(answer));
+}
+
+// A request stays in the table as long as it owes an answer or has attempts out.
+void Dispatcher::settle(const std::string& id) {
+  const auto at = held_.find(id);
+  if (at != held_.end() && at->second.over() && !at->second.any_open()) held_.erase(at);
+}
+
+// Guards against a module that errs or holds on for too long, and against timers that come late.
+void Dispatcher::overdue(const std::string& id) {
+  const auto at = held_.find(id);
+  if (at == held_.end() || at->second.over()) return;
+  answer(at->second, {Answer::Kind::kFailed, 0, {}});
+  happen(RequestGone{id});
+  const auto left = held_.find(id);
+  if (left == held_.end()) return;
+  // The module cancels what it may; the rest ends by its own time-out, which lies before this guard.
+  settle(id);
+}
+
+// ---------------------------------------------------------------- actions
+
+void Dispatcher::perform(const Send& action) {
+  const auto at = held_.find(action.id);
+  if (at == held_.end()) return;
+  Held& held = at->second;
+  const int attempt = static_cast<int>(held.attempts.size());
+  const double now = clock_.now();
+  // Without a limit of its own, or with a longer one, an attempt ends with its request.
+  const double left = held.until - now;
+  double timeout = action.timeout == 0 ? left : std::min(action.timeout, left);
+  if (held.over()) timeout = 0;  // danger: a send after the final answer; it never leaves
+  held.open.push_back(true);
+  held.attempts.push_back(
+      upstream_.start(action.server, held.message, timeout,
+                      [this, id = action.id, attempt, now](Outcome outcome, HttpResponse&& response) {
+                        attempt_ended(id, attempt, now, outcome, std::move(response));
+                      }));
+}
+
+void Dispatcher::perform(const Refuse& action) {
+  const auto at = held_.find(action.id);
+  if (at == held_.end() || at->second.over()) return;
+  answer(at->second, {Answer::Kind::kRefused, action.retry_after, {}});
+  settle(action.id);
+}
+
+void Dispatcher::perform(const Fail& action) {
+  const auto at = held_.find(action.id);
+  if (at == held_.end() || at->second.over()) return;
+  answer(at->second, {Answer::Kind::kFailed, 0, {}});
+  settle(action.id);
+}
+
+void Dispatcher::perform(const Cancel& action) {
+  const auto at = held_.find(action.id);
+  if (at == held_.end() || action.attempt < 0) return;
+  const auto attempt = static_cast<std::size_t>(action.attempt);
+  if (attempt < at->second.attempts.size()) upstream_.cancel(at->second.attempts[attempt]);
+}
+
+void Dispatcher::perform(const SetTimer& action) {
+  const auto timer = std::make_shared<asio::steady_timer>(io_, clock_.at(action.at));
+  timer->async_wait([this, timer, token = action.token](error_code cancelled) {
+    if (!cancelled) happen(TimerFired{token});
+  });
+}
+
+void Dispatcher::perform(const WatchMembers&) { watch_(); }
+
+void Dispatcher::perform(const LogLine& action) { std::clog << action.text << '\n'; }
+
+}  // namespace marlspread::node
--- /dev/null
+++ b/node/dispatcher.h
@@ -0,0 +1,92 @@
+// Stands between the module and the sockets: turns what happens into events, and actions into calls. It
+// decides nothing; but it alone sees to it that each request it took gets exactly one final answer in time.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "clock.h"
+#include "discovery.h"
+#include "marlspread/balancer.h"
+#include "message.h"
+#include "upstream.h"
+
+namespace marlspread::node {
+
+// A request's final answer.
+struct Answer {
+  enum class Kind { kServed, kRefused, kFailed };
+  Kind kind = Kind::kFailed;
+  double retry_after = 0;  // refused: when to come back; 0: no advice
+  HttpResponse response;   // served: the server's
+};
+
+class Dispatcher {
+ public:
+  using AnswerTo = std::function<void(Answer&&)>;
+
+  // `watch` asks discovery anew.
+  Dispatcher(boost::asio::io_context& io, const Clock& clock, const Settings& settings, std::uint64_t seed,
+             std::size_t max_open, Upstream& upstream, std::function<void()> watch);
+
+  // The list that is known from before, if any, then the start.
+  void start(const Membership& known);
+  bool can_serve() const { return ready_ > 0; }
+
+  // Takes a request whose client waits until `event.time_left` from now. The answer may come at once.
+  void take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to);
+  // Whether a request of this id is open, or has attempts out.
+  bool holds(const std::string& id) const { return held_.contains(id); }
+  void client_gone(const std::string& id);
+  void members(const Membership& update);
+  void watch_failed();
+
+ private:
+  struct Held {
+    std::shared_ptr<const HttpRequest> message;
+    AnswerTo answer_to;  // empty once the final answer is out, or nobody waits for it
+    double until = 0;    // when attempts end, a margin before the client gives up
+    std::unique_ptr<boost::asio::steady_timer> guard;
+    std::vector<Upstream::Handle> attempts;
+    std::vector<bool> open;
+    bool over() const { return !answer_to; }
+    bool any_open() const;
+  };
+
+  void happen(Event event);
+  void handle(const Event& event);
+  void attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
+                     HttpResponse&& response);
+  void answer(Held& held, Answer&& answer);
+  void settle(const std::string& id);
+  void overdue(const std::string& id);
+
+  void perform(const Send& action);
+  void perform(const Refuse& action);
+  void perform(const Fail& action);
+  void perform(const Cancel& action);
+  void perform(const SetTimer& action);
+  void perform(const WatchMembers& action);
+  void perform(const LogLine& action);
+
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  Balancer balancer_;
+  std::size_t max_open_;
+  double busy_retry_after_;
+  Upstream& upstream_;
+  std::function<void()> watch_;
+  std::unordered_map<std::string, Held> held_;
+  std::unordered_map<std::string, bool> ready_by_name_;
+  std::size_t ready_ = 0;
+  std::deque<Event> events_;
+  bool handling_ = false, module_failed_ = false;
+};
+
+}  // namespace marlspread::node
--- /dev/null
+++ b/node/frontend.h
@@ -0,0 +1,70 @@
+// The callers' side: their connections, what they may ask, and the answers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dispatcher.h"
+#include "marlspread/balancer.h"
+
+namespace marlspread::node {
+
+// What a request may name, from the settings.
+struct Catalog {
+  std::vector<std::string> class_names, tenant_names;
+  std::vector<RequestClass> classes;
+};
+
+class Frontend {
+ public:
+  struct Limits {
+    std::size_t most = 0;      // connections; beyond it, idle ones are closed and new ones turned away
+    std::size_t overflow = 0;  // how many of these may be open besides; beyond, nothing is accepted
+    double busy_retry_after = 0;
+  };
+
+  // Throws boost::system::system_error when the address can't be listened on.
+  Frontend(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, const Limits& limits,
+           Catalog catalog, Dispatcher& dispatcher);
+  ~Frontend();
+  Frontend(const Frontend&) = delete;
+  Frontend& operator=(const Frontend&) = delete;
+
+  void start();
+  boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+
+  // Goes on accepting for a while, ends each connection with its answer, and calls `done` when none is left.
+  void drain(std::function<void()> done);
+
+ private:
+  class Session;
+  friend class Session;
+
+  void accept();
+  void accept_failed();
+  void admit(boost::asio::ip::tcp::socket socket);
+  bool evict_idle();
+  void ended(Session& session);
+  void stop_accepting();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;  // a pause after a failed accept; then for the drain
+  Limits limits_;
+  Catalog catalog_;
+  Dispatcher& dispatcher_;
+  std::list<std::shared_ptr<Session>> sessions_;
+  std::list<Session*> idle_;  // between requests; the one that has waited the longest first
+  int spare_ = -1;            // a descriptor in reserve
+  bool accepting_ = false, draining_ = false;
+  std::function<void()> drained_;
+};
+
+}  // namespace marlspread::node
--- /dev/null
+++ b/node/main.cpp
@@ -0,0 +1,94 @@
+// thymewood: a load-balancer node. Environment, signals, wiring and exit status; the work is elsewhere.
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "config.h"
+#include "discovery.h"
+#include "dispatcher.h"
+#include "frontend.h"
+#include "upstream.h"
+
+namespace {
+
+namespace asio = boost::asio;
+namespace node = marlspread::node;
+
+constexpr int kBadConfiguration = 2;
+
+// How the descriptors are shared out. Danger: a request that was accepted and has no descriptor left for its
+// attempt can only be refused.
+struct Shares {
+  explicit Shares(std::size_t sockets) {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
+      sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
+    }
+    constexpr std::size_t kReserve = 24;  // the loop's own, discovery, the log, the listener and a spare
+    const std::size_t free = sockets > 2 * kReserve ? sockets - kReserve : kReserve;
+    clients = free / 2;
+    overflow = free / 8;
+    upstream = free - clients - overflow;
+  }
+  std::size_t clients = 0, overflow = 0, upstream = 0;
+};
+
+int run(const char* path) {
+  const node::Clock clock;
+  node::Config config;
+  try {
+    config = node::read_config(path, clock);
+  } catch (const std::exception& problem) {
+    std::cerr << "thymewood: " << problem.what() << '\n';
+    return kBadConfiguration;
+  }
+  asio::io_context io(1);
+  const Shares shares(config.sockets);
+  const marlspread::Settings& settings = config.settings;
+  node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream});
+  node::Dispatcher* to = nullptr;
+  node::Discovery discovery(
+      io, config.discovery, config.directory, clock,
+      {[&to](const node::Membership& update) { to->members(update); }, [&to] { to->watch_failed(); }});
+  discovery.set_index(config.known.index);
+  try {
+    node::Dispatcher dispatcher(io, clock, settings, config.seed, config.max_open, upstream,
+                                [&discovery] { discovery.watch(); });
+    to = &dispatcher;
+    node::Frontend frontend(io, config.listen,
+                            {shares.clients, shares.overflow, settings.max_retry_after / 2},
+                            {config.class_names, config.tenant_names, settings.classes}, dispatcher);
+    dispatcher.start(config.known);
+    frontend.start();
+    std::clog << "thymewood " << config.name << ": listening on " << frontend.local() << '\n';
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code bad, int) {
+      if (!bad) frontend.drain([&io] { io.stop(); });
+    });
+    io.run();
+  } catch (const boost::system::system_error& problem) {
+    std::cerr << "thymewood: listen: " << problem.what() << '\n';
+    return kBadConfiguration;
+  } catch (const std::invalid_argument& problem) {
+    std::cerr << "thymewood: " << problem.what() << '\n';
+    return kBadConfiguration;
+  }
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  const char* path = std::getenv("RELAY_CONFIG");
+  if (path == nullptr || *path == '\0') {
+    std::cerr << "thymewood: RELAY_CONFIG is not set\n";
+    return kBadConfiguration;
+  }
+  return run(path);
+}
--- /dev/null
+++ b/node/message.h
@@ -0,0 +1,28 @@
+// The HTTP messages of a node and the bounds that both of its sides keep.
+#pragma once
+
+#include <boost/beast/http.hpp>
+#include <cstddef>
+#include <cstdint>
+
+namespace marlspread::node {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+constexpr std::uint32_t kHeaderLimit = 16 * 1024;
+constexpr std::uint64_t kBodyLimit = 64 * 1024;
+
+// Drops the fields that belong to one connection and not to the message.
+template <typename Fields>
+void drop_hop_by_hop(Fields& fields) {
+  namespace http = boost::beast::http;
+  for (const http::field name :
+       {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
+        http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::expect,
+        http::field::content_length}) {
+    fields.erase(name);
+  }
+}
+
+}  // namespace marlspread::node
--- /dev/null
+++ b/node/upstream.h
@@ -0,0 +1,72 @@
+// The connections to servers, and the attempts on them.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "clock.h"
+#include "marlspread/balancer.h"
+#include "message.h"
+
+namespace marlspread::node {
+
+class Upstream {
+ public:
+  struct Limits {
+    double dial_timeout = 0;
+    double idle_close = 0;            // a server may close a connection that has stood idle this long
+    std::size_t max_connections = 0;  // over all servers
+  };
+  // How an attempt ended; the answer is there with kDelivered alone.
+  using Report = std::function<void(Outcome, HttpResponse&&)>;
+
+  class Attempt;
+  using Handle = std::weak_ptr<Attempt>;
+
+  Upstream(boost::asio::io_context& io, const Limits& limits);
+  ~Upstream();
+  Upstream(const Upstream&) = delete;
+  Upstream& operator=(const Upstream&) = delete;
+
+  // Where a server listens, and whether it may get new work. `started` tells one of its processes from the
+  // next, whose connections are not the last one's.
+  void place(const std::string& server, const boost::asio::ip::tcp::endpoint& where, double started,
+             bool usable);
+  // It has left the list: attempts that are out go on, nothing new is to come.
+  void retire(const std::string& server);
+
+  // Sends a request, once, and reports exactly once, never from within this call.
+  Handle start(const std::string& server, std::shared_ptr<const HttpRequest> request, double timeout,
+               Report report);
+  // Closes the attempt's connection; it is reported as kCancelled, unless its end is on its way already.
+  void cancel(const Handle& attempt);
+
+  std::size_t connections() const { return connections_; }
+
+ private:
+  class Connection;
+  struct Pool;
+
+  void dial(const std::shared_ptr<Pool>& pool);
+  void dialled(const std::shared_ptr<Pool>& pool, const std::shared_ptr<Connection>& connection, bool up);
+  std::shared_ptr<Connection> take_idle(Pool& pool);
+  void release(const std::shared_ptr<Connection>& connection);
+  void forget(Pool& pool, const Connection& connection);
+  void drop_idle(Pool& pool);
+  bool make_room();
+  void finish(const std::shared_ptr<Attempt>& attempt, Outcome outcome, bool keep);
+
+  boost::asio::io_context& io_;
+  Limits limits_;
+  std::map<std::string, std::shared_ptr<Pool>> pools_;
+  std::size_t connections_ = 0;  // dialling ones too
+  // Outlived by no handler that looks at it: what is left in the event loop at the end sees that we are gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace marlspread::node
--- a/tests/checks.sh
+++ b/tests/checks.sh
@@ -8,7 +8,7 @@
 mkdir -p "$scratch"
 cd "$source"
 
-sources() { git ls-files '*.cpp' '*.h' 2>/dev/null || find adapter include src tests -name '*.cpp' -o -name '*.h'; }
+sources() { git ls-files '*.cpp' '*.h' 2>/dev/null || find adapter include json node src tests -name '*.cpp' -o -name '*.h'; }
 
 case $name in
   policy_size)  # the limits of the module that is read aloud
@@ -21,25 +21,46 @@
     sources | xargs clang-format --dry-run -Werror ;;
   tidy)
     cmake -B "$scratch" -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
-    clang-tidy -p "$scratch" --quiet --warnings-as-errors='*' src/*.cpp adapter/*.cpp ;;
+    clang-tidy -p "$scratch" --quiet --warnings-as-errors='*' src/*.cpp json/*.cpp adapter/*.cpp node/*.cpp ;;
   sanitizers)
     cmake -B "$scratch" -DCMAKE_BUILD_TYPE=Debug -DMARLSPREAD_BUILD_TESTS=ON -DMARLSPREAD_SANITIZE=ON \
       -DMARLSPREAD_UNIT_TESTS_ONLY=ON
     cmake --build "$scratch" -j4
     ctest --test-dir "$scratch" --output-on-failure -j4 ;;
   consumer)  # an installed package, found and used
-    cmake -B "$scratch/library" -DMARLSPREAD_BUILD_ADAPTER=OFF
+    cmake -B "$scratch/library" -DMARLSPREAD_BUILD_ADAPTER=OFF -DMARLSPREAD_BUILD_NODE=OFF
     cmake --build "$scratch/library" -j4
     cmake --install "$scratch/library" --prefix "$scratch/installed"
     cmake -S tests/consumer -B "$scratch/consumer" -DCMAKE_PREFIX_PATH="$scratch/installed"
     cmake --build "$scratch/consumer"
     "$scratch/consumer/consumer" ;;
   deploy)  # the build line of the deploy file, as it stands there, in a copy of the sources
-    cp -r CMakeLists.txt cmake include src adapter deploy tests "$scratch"
+    cp -r CMakeLists.txt cmake include src json adapter node deploy tests "$scratch"
     cd "$scratch"
     bash -euo pipefail -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)"
     reply=$(echo '{"clock":1,"turn":1,"nodes":[]}' | sh -c "$(sed -n 's/^sim = "\(.*\)"$/\1/p' deploy/balancer.toml)")
-    [ "$reply" = '{"turn":1,"nodes":[]}' ] ;;
+    [ "$reply" = '{"turn":1,"nodes":[]}' ]
+    # The real node, told of one server: it must come up, say that it can serve, and end well when asked to.
+    cat >config.json <<'CONFIG'
+{"name":"check","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
+ "known":{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:9","status":"up"}]},
+ "settings":{"position":0,"peersTotal":1,"bounds":{},
+             "categories":[{"name":"look","aim":1,"giveUp":2,"effect":"safe"}]}}
+CONFIG
+    run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
+    RELAY_CONFIG=config.json sh -c "$run" 2>log &
+    node=$!
+    trap 'kill -KILL $node 2>/dev/null || true' EXIT
+    for _ in $(seq 300); do
+      port=$(sed -n 's/.*listening on .*:\([0-9]*\)$/\1/p' log)
+      [ -z "$port" ] || break
+      sleep 0.1
+    done
+    exec 3<>"/dev/tcp/127.0.0.1/$port"
+    printf 'GET /_health HTTP/1.1\r\nHost: check\r\nConnection: close\r\n\r\n' >&3
+    head -1 <&3 | grep '^HTTP/1.1 200'
+    kill -TERM $node
+    wait $node ;;
   *)
     echo "unknown check $name" >&2
     exit 2 ;;
