--- a/node/clock.h
+++ b/node/clock.h
@@ -1,6 +1,7 @@
 // The one clock of a node: seconds on the steady clock since the node started.
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 
@@ -31,4 +32,10 @@
                                     .count();
 };
 
+// Calls off a timer, also from where nothing may be thrown.
+inline void halt(boost::asio::steady_timer& timer) {
+  boost::system::error_code ignored;
+  timer.cancel(ignored);
+}
+
 }  // namespace marlspread::node
--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -22,7 +22,7 @@
 // Danger: what discovery has to tell counts as told 6 s later, so that a longer patience breaks a drain.
 constexpr double kSilence = 4.5;
 constexpr double kDial = 1.5;  // s; for the connection alone
-constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
+constexpr std::size_t kLongestLine = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -109,14 +109,14 @@
   void abandon() {
     owner_ = nullptr;
     error_code ignored;
-    timer_.cancel();
+    halt(timer_);
     socket_.close(ignored);
   }
 
   void end() {
     Discovery* owner = std::exchange(owner_, nullptr);
     error_code ignored;
-    timer_.cancel();
+    halt(timer_);
     socket_.close(ignored);
     if (owner != nullptr) owner->end(shared_from_this());
   }
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -90,7 +90,7 @@
     const bool waiting = state_ == State::kWaiting;
     state_ = State::kClosed;
     error_code ignored;
-    timer_.cancel();
+    halt(timer_);
     socket_.close(ignored);
     Frontend* owner = std::exchange(owner_, nullptr);
     if (owner == nullptr) return;
@@ -124,7 +124,9 @@
     parser_.emplace();
     parser_->header_limit(kHeaderLimit);
     parser_->body_limit(kBodyLimit);
-    parser_->eager(true);
+    // Danger: when eager, this parser passes over its own body limit if the head and a part of the body come
+    // together, and a length of gigabytes is then taken in.
+    parser_->eager(false);
     continue_sent_ = false;
     parse();
     if (state_ != State::kReading) return;
@@ -180,7 +182,8 @@
       const std::size_t used = parser_->put(ahead_.data(), bad);
       ahead_.consume(used);
       if (bad == http::error::need_more) bad = {};
-      if (bad == http::error::body_limit) return reject({http::status::payload_too_large, "body too large"});
+      if (bad == http::error::body_limit || parser_->get().body().size() > kBodyLimit)
+        return reject({http::status::payload_too_large, "body too large"});
       if (bad == http::error::header_limit) {
         return reject({http::status::request_header_fields_too_large, "header too large"});
       }
@@ -234,7 +237,7 @@
     request_->prepare_payload();
     request_->version(11);
     state_ = State::kWaiting;
-    timer_.cancel();
+    halt(timer_);
     owner_->dispatcher_.take(std::move(event), std::exchange(request_, nullptr),
                              [weak = weak_from_this()](Answer&& answer) {
                                if (const auto self = weak.lock()) self->answer(std::move(answer));
@@ -386,18 +389,19 @@
   HttpResponse response_;
 };
 
-Frontend::Frontend(asio::io_context& io, const tcp::endpoint& listen, const Limits& limits, Catalog catalog,
-                   Dispatcher& dispatcher)
+Frontend::Frontend(asio::io_context& io, const Limits& limits, Catalog catalog, Dispatcher& dispatcher)
     : io_(io),
       acceptor_(io),
       timer_(io),
       limits_(limits),
       catalog_(std::move(catalog)),
       dispatcher_(dispatcher),
-      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {
-  acceptor_.open(listen.protocol());
+      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {}
+
+void Frontend::listen(const tcp::endpoint& where) {
+  acceptor_.open(where.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listen);
+  acceptor_.bind(where);
   acceptor_.listen(kBacklog);
 }
 
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -30,13 +30,13 @@
     double busy_retry_after = 0;
   };
 
-  // Throws boost::system::system_error when the address can't be listened on.
-  Frontend(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, const Limits& limits,
-           Catalog catalog, Dispatcher& dispatcher);
+  Frontend(boost::asio::io_context& io, const Limits& limits, Catalog catalog, Dispatcher& dispatcher);
   ~Frontend();
   Frontend(const Frontend&) = delete;
   Frontend& operator=(const Frontend&) = delete;
 
+  // Throws boost::system::system_error when the address can't be listened on.
+  void listen(const boost::asio::ip::tcp::endpoint& where);
   void start();
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -60,9 +61,14 @@
     node::Dispatcher dispatcher(io, clock, settings, config.seed, config.max_open, upstream,
                                 [&discovery] { discovery.watch(); });
     to = &dispatcher;
-    node::Frontend frontend(io, config.listen,
-                            {shares.clients, shares.overflow, settings.max_retry_after / 2},
+    node::Frontend frontend(io, {shares.clients, shares.overflow, settings.max_retry_after / 2},
                             {config.class_names, config.tenant_names, settings.classes}, dispatcher);
+    try {
+      frontend.listen(config.listen);
+    } catch (const boost::system::system_error& problem) {
+      std::cerr << "thymewood: listen: " << problem.code().message() << '\n';
+      return kBadConfiguration;
+    }
     dispatcher.start(config.known);
     frontend.start();
     std::clog << "thymewood " << config.name << ": listening on " << frontend.local() << '\n';
@@ -71,9 +77,6 @@
       if (!bad) frontend.drain([&io] { io.stop(); });
     });
     io.run();
-  } catch (const boost::system::system_error& problem) {
-    std::cerr << "thymewood: listen: " << problem.what() << '\n';
-    return kBadConfiguration;
   } catch (const std::invalid_argument& problem) {
     std::cerr << "thymewood: " << problem.what() << '\n';
     return kBadConfiguration;
@@ -85,10 +88,17 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
-  const char* path = std::getenv("RELAY_CONFIG");
-  if (path == nullptr || *path == '\0') {
-    std::cerr << "thymewood: RELAY_CONFIG is not set\n";
-    return kBadConfiguration;
+  try {
+    const char* path = std::getenv("RELAY_CONFIG");
+    if (path == nullptr || *path == '\0') {
+      std::cerr << "thymewood: RELAY_CONFIG is not set\n";
+      return kBadConfiguration;
+    }
+    return run(path);
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "thymewood: %s\n", problem.what());
+  } catch (...) {
+    std::fputs("thymewood: an unknown fault\n", stderr);
   }
-  return run(path);
+  return EXIT_FAILURE;
 }
--- a/node/message.h
+++ b/node/message.h
@@ -11,7 +11,7 @@
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
 constexpr std::uint32_t kHeaderLimit = 16 * 1024;
-constexpr std::uint64_t kBodyLimit = 64 * 1024;
+constexpr std::uint64_t kBodyLimit = std::uint64_t{64} * 1024;
 
 // Drops the fields that belong to one connection and not to the message.
 template <typename Fields>
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -85,6 +85,7 @@
 
   void begin(Upstream& owner, const std::shared_ptr<Attempt>& self, std::shared_ptr<Connection> on);
   void read(Upstream& owner, const std::shared_ptr<Attempt>& self);
+  void read_more(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void answered(Upstream& owner, const std::shared_ptr<Attempt>& self);
 };
 
@@ -116,7 +117,7 @@
   drop_idle(*at->second);
 }
 
-Upstream::Handle Upstream::start(const std::string& server, std::shared_ptr<const HttpRequest> request,
+Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const HttpRequest>& request,
                                  double timeout, Report report) {
   const auto attempt = std::make_shared<Attempt>(io_, std::move(report));
   const auto at = pools_.find(server);
@@ -177,7 +178,7 @@
 void Upstream::dialled(const std::shared_ptr<Pool>& pool, const std::shared_ptr<Connection>& connection,
                        bool up) {
   if (!std::exchange(connection->dialling, false)) return;  // timer and connect can both come
-  connection->timer.cancel();
+  halt(connection->timer);
   pool->dialling -= 1;
   error_code ignored;
   if (up) {
@@ -202,11 +203,11 @@
 
 std::shared_ptr<Upstream::Connection> Upstream::take_idle(Pool& pool) {
   while (!pool.idle.empty()) {
-    const std::shared_ptr<Connection> connection = std::move(pool.idle.back());
+    std::shared_ptr<Connection> connection = std::move(pool.idle.back());
     pool.idle.pop_back();
     connection->idle = false;
     connection->idle_turn += 1;
-    connection->timer.cancel();
+    halt(connection->timer);
     error_code ignored;
     connection->socket.cancel(ignored);  // the wait for the server's close
     // Danger: neither the timer nor the close may have been seen yet, on a core that others share.
@@ -242,7 +243,7 @@
     if (cancelled || !*alive || !connection->idle || connection->idle_turn != turn) return;
     forget(*connection->pool, *connection);
     connection->idle = false;
-    connection->timer.cancel();
+    halt(connection->timer);
     error_code closing;
     connection->socket.close(closing);
   };
@@ -254,7 +255,7 @@
 void Upstream::drop_idle(Pool& pool) {
   for (const std::shared_ptr<Connection>& connection : pool.idle) {
     connection->idle = false;
-    connection->timer.cancel();
+    halt(connection->timer);
     error_code ignored;
     connection->socket.close(ignored);
     connections_ -= 1;
@@ -276,7 +277,7 @@
   const std::shared_ptr<Connection> connection = oldest->idle.front();
   forget(*oldest, *connection);
   connection->idle = false;
-  connection->timer.cancel();
+  halt(connection->timer);
   error_code ignored;
   connection->socket.close(ignored);
   return true;
@@ -302,16 +303,32 @@
   parser.emplace();
   parser->header_limit(kHeaderLimit);
   parser->body_limit(kBodyLimit);
-  http::async_read(connection->socket, connection->buffer, *parser,
-                   [&owner, alive = owner.alive_, self](error_code problem, std::size_t) {
-                     if (!*alive || self->ended) return;
-                     if (!problem) return self->answered(owner, self);
-                     // What can't be read as an answer came from a server that had the request.
-                     const bool spoilt =
-                         problem.category() == http::make_error_code(http::error::bad_version).category() &&
-                         problem != http::error::end_of_stream && problem != http::error::partial_message;
-                     owner.finish(self, spoilt ? Outcome::kUnknown : Outcome::kReset, false);
-                   });
+  // Danger: a parser that is eager (as the whole-message read makes it) passes over its body limit if the
+  // head and a part of the body come together: an answer of gigabytes would be taken in. Hence piece by
+  // piece.
+  parser->eager(false);
+  read_more(owner, self);
+}
+
+void Upstream::Attempt::read_more(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  http::async_read_some(connection->socket, connection->buffer, *parser,
+                        [&owner, alive = owner.alive_, self](error_code problem, std::size_t) {
+                          if (!*alive || self->ended) return;
+                          if (problem && !self->parser->is_done()) {
+                            const bool broken = problem == http::error::end_of_stream ||
+                                                problem == http::error::partial_message ||
+                                                problem.category() == boost::system::system_category() ||
+                                                problem.category() == asio::error::get_misc_category();
+                            // What can't be read as an answer came from a server that had the request: it may
+                            // have run too.
+                            return owner.finish(self, broken ? Outcome::kReset : Outcome::kUnknown, false);
+                          }
+                          if (self->parser->get().body().size() > kBodyLimit) {
+                            return owner.finish(self, Outcome::kUnknown, false);
+                          }
+                          if (self->parser->is_done()) return self->answered(owner, self);
+                          self->read_more(owner, self);
+                        });
 }
 
 void Upstream::Attempt::answered(Upstream& owner, const std::shared_ptr<Attempt>& self) {
@@ -332,7 +349,7 @@
 // The connection is free again before the outcome is told: what the module sends next may use it.
 void Upstream::finish(const std::shared_ptr<Attempt>& attempt, Outcome outcome, bool keep) {
   if (std::exchange(attempt->ended, true)) return;
-  attempt->timer.cancel();
+  halt(attempt->timer);
   if (attempt->pool) {
     std::deque<std::shared_ptr<Attempt>>& waiting = attempt->pool->waiting;
     const auto at = std::find(waiting.begin(), waiting.end(), attempt);
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -41,7 +41,7 @@
   void retire(const std::string& server);
 
   // Sends a request, once, and reports exactly once, never from within this call.
-  Handle start(const std::string& server, std::shared_ptr<const HttpRequest> request, double timeout,
+  Handle start(const std::string& server, const std::shared_ptr<const HttpRequest>& request, double timeout,
                Report report);
   // Closes the attempt's connection; it is reported as kCancelled, unless its end is on its way already.
   void cancel(const Handle& attempt);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -100,5 +100,327 @@
   });
 }
 
+// It is given up when the head has come, not when the client's time is up: the server waits for that.
+TEST(Outcomes, BodyBeyondTheLimitIsGivenUpAtOnce) {
+  std::atomic<bool> held = true;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    wire.write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx");
+    wire.more();  // true if something came; false at the node's close
+    held = false;
+    return false;
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  const auto start = std::chrono::steady_clock::now();
+  client.write(Ask{}.text());
+  EXPECT_EQ(status_of(client.read_message()), 502);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 10s) << "the client waits 15 s";
+  EXPECT_TRUE(eventually([&] { return !held; }));
+}
+
+TEST(Outcomes, InterimAnswersAreNotTheAnswer) {
+  FakeServer server([](Wire& wire, const std::string&) {
+    return wire.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n" +
+                      http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  for (int i = 0; i < 2; ++i) {
+    client.write(Ask{.id = "r" + std::to_string(i)}.text());
+    EXPECT_EQ(body_of(client.read_message()), "ok");
+  }
+  EXPECT_EQ(server.listener().accepted(), 1);
+}
+
+TEST(Outcomes, ASplitAndChunkedAnswerIsPutTogether) {
+  FakeServer server([](Wire& wire, const std::string&) {
+    for (const char c : std::string(
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")) {
+      if (!wire.write(std::string(1, c))) return false;
+    }
+    return true;
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  for (int i = 0; i < 2; ++i) {
+    client.write(Ask{.id = "r" + std::to_string(i)}.text());
+    EXPECT_EQ(body_of(client.read_message()), "abcde");
+  }
+}
+
+TEST(Outcomes, WhatFollowsAnAnswerIsNotTheNext) {
+  FakeServer server([](Wire& wire, const std::string&) {
+    return wire.write(http_answer(200, "right") + http_answer(200, "wrong"));
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  for (int i = 0; i < 3; ++i) {
+    client.write(Ask{.id = "r" + std::to_string(i)}.text());
+    EXPECT_EQ(body_of(client.read_message()), "right");
+  }
+}
+
+TEST(Outcomes, NoConnectionNeverRan) {
+  int port = 0;
+  {
+    FakeServer gone(replies(200, "x"));
+    port = gone.listener().port();
+  }
+  FakeDiscovery discovery;
+  ConfigText config;
+  config.discovery = discovery.address();
+  config.known = list(7, true, member("s0", "127.0.0.1:" + std::to_string(port)));
+  Program program(config.text());
+  Wire client = Wire::to(program.port());
+  client.write(Ask{}.text());
+  EXPECT_EQ(status_of(client.read_message()), 503) << "refused, not failed: an unsafe request that never ran";
+}
+
+TEST(Outcomes, TimedOutMayHaveRunAndClosesTheConnection) {
+  FakeServer server([](Wire&, const std::string&) { return true; });
+  Deployment d({&server});
+  Wire client = d.client();
+  client.write(Ask{.timeout = "300"}.text());
+  EXPECT_EQ(status_of(client.read_message()), 502);
+  EXPECT_EQ(server.requests().size(), 1U);
+  EXPECT_TRUE(eventually([&] { return server.ended() == 1; }));
+}
+
+// ---------------------------------------------------------------- what may be asked
+
+void expect_turned_down(const std::string& request, int status) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  Wire client = d.client();
+  client.write(request);
+  const std::string answer = client.read_message();
+  EXPECT_EQ(status_of(answer), status) << answer;
+  EXPECT_TRUE(server.requests().empty()) << "never forwarded";
+  EXPECT_TRUE(d.program->running());
+}
+
+TEST(BadInput, Noise) { expect_turned_down("\x01\x02 what?\r\n\r\n", 400); }
+TEST(BadInput, NoId) { expect_turned_down(Ask{.id = ""}.text(), 400); }
+TEST(BadInput, TwoIds) { expect_turned_down(Ask{.fields = "X-Request-ID: r2\r\n"}.text(), 400); }
+TEST(BadInput, UnknownClass) { expect_turned_down(Ask{.kind = "dance"}.text(), 400); }
+TEST(BadInput, ClassNotOfThePath) { expect_turned_down(Ask{.path = "/mark/k1"}.text(), 400); }
+TEST(BadInput, UnknownPath) { expect_turned_down("GET /ping HTTP/1.1\r\nHost: a\r\n\r\n", 404); }
+TEST(BadInput, TimeoutNoNumber) { expect_turned_down(Ask{.timeout = "soon"}.text(), 400); }
+TEST(BadInput, TimeoutNegative) { expect_turned_down(Ask{.timeout = "-5"}.text(), 400); }
+TEST(BadInput, TimeoutWithTail) { expect_turned_down(Ask{.timeout = "50ms"}.text(), 400); }
+TEST(BadInput, TimeoutHuge) { expect_turned_down(Ask{.timeout = "99999999999999999999"}.text(), 400); }
+TEST(BadInput, KeyOnUnsafe) { expect_turned_down(Ask{.key = "k"}.text(), 400); }
+TEST(BadInput, NoKeyOnKeyed) { expect_turned_down(Ask{.kind = "mark"}.text(), 400); }
+TEST(BadInput, GetOnUnsafe) { expect_turned_down(Ask{.method = "GET", .body = ""}.text(), 400); }
+TEST(BadInput, PostOnSafe) { expect_turned_down(Ask{.kind = "look"}.text(), 400); }
+TEST(BadInput, BodyTooLarge) { expect_turned_down(Ask{.body = std::string(64 * 1024 + 1, 'x')}.text(), 413); }
+TEST(BadInput, BodyOfGigabytes) {
+  expect_turned_down("POST /close/k HTTP/1.1\r\nHost: a\r\nContent-Length: 3000000000\r\n\r\nx", 413);
+}
+TEST(BadInput, HeadWithoutEnd) {
+  expect_turned_down("GET /close/k HTTP/1.1\r\nX-Long: " + std::string(32 * 1024, 'x'), 431);
+}
+TEST(BadInput, TwoLengths) {
+  expect_turned_down(
+      "POST /close/k HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400);
+}
+
+TEST(BadInput, IdOfAnOpenRequest) {
+  Gate gate;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  Wire first = d.client(), second = d.client();
+  first.write(Ask{}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  second.write(Ask{}.text());
+  EXPECT_EQ(status_of(second.read_message()), 400);
+  gate.open();
+  EXPECT_EQ(status_of(first.read_message()), 200);
+  EXPECT_EQ(server.requests().size(), 1U);
+}
+
+// ---------------------------------------------------------------- clients
+
+TEST(Clients, SplitInputIsPutTogether) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  Wire client = d.client();
+  for (const char c : Ask{}.text()) client.write(std::string(1, c));
+  EXPECT_EQ(status_of(client.read_message()), 200);
+}
+
+TEST(Clients, PipelinedRequestsAreAnsweredInTurn) {
+  FakeServer server([](Wire& wire, const std::string& request) {
+    return wire.write(http_answer(200, field_of(request, "X-Request-ID")));
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  std::string all;
+  for (int i = 0; i < 20; ++i) all += Ask{.id = "r" + std::to_string(i)}.text();
+  client.write(all);
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(body_of(client.read_message()), "r" + std::to_string(i));
+}
+
+TEST(Clients, OneThatGoesIsNoticedAndItsAttemptClosed) {
+  FakeServer server([](Wire&, const std::string&) { return true; });
+  Deployment d({&server});
+  Wire client = d.client();
+  client.write(Ask{}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  client.close();
+  EXPECT_TRUE(eventually([&] { return server.ended() == 1; }));
+}
+
+// ---------------------------------------------------------------- discovery
+
+TEST(Watch, ResumesAfterTheListInHandAndTakesSplitAndJoinedLines) {
+  FakeServer old_server(replies(200, "old")), new_server(replies(200, "new"));
+  Deployment d({&old_server});
+  ASSERT_TRUE(eventually([&] { return !d.discovery.calls().empty(); }));
+  EXPECT_NE(d.discovery.calls()[0].find("watch=1&after=7 "), std::string::npos);
+  const std::string lines = list(8, false, member("s0", old_server.address(), "draining")) + "\n\n" +
+                            list(9, false, member("s1", new_server.address())) + "\n";
+  const std::size_t cut = lines.size() / 3;
+  d.discovery.say_raw(chunk(lines.substr(0, cut)));
+  d.discovery.say_raw(chunk(lines.substr(cut)));
+  int n = 0;
+  EXPECT_TRUE(eventually([&] {
+    Wire client = d.client();
+    client.write(Ask{.id = "w" + std::to_string(++n)}.text());
+    return body_of(client.read_message()) == "new";
+  }));
+  d.discovery.hang_up();
+  ASSERT_TRUE(eventually([&] { return d.discovery.calls().size() >= 2; }));
+  EXPECT_NE(d.discovery.calls()[1].find("watch=1&after=9 "), std::string::npos);
+}
+
+TEST(Watch, ASilentOneIsGivenUp) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  EXPECT_TRUE(eventually([&] { return d.discovery.calls().size() >= 2; }));
+}
+
+TEST(Watch, BadListsAreLoggedOnceAndTheOldOneStays) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  d.discovery.answer_with("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("{\"index\":\n"));
+  d.discovery.hang_up();
+  ASSERT_TRUE(eventually([&] { return d.discovery.calls().size() >= 3; }));
+  const std::string log = d.program->log();
+  const std::size_t first = log.find("discovery: ");
+  EXPECT_NE(first, std::string::npos);
+  EXPECT_EQ(log.find("discovery: ", first + 1), std::string::npos) << log;
+  Wire client = d.client();
+  client.write(Ask{}.text());
+  EXPECT_EQ(status_of(client.read_message()), 200);
+}
+
+TEST(Watch, UnavailableIsAskedAgain) {
+  FakeServer server(replies(200, "ok"));
+  FakeDiscovery discovery;
+  discovery.answer_with(http_answer(503, ""));
+  ConfigText config;
+  config.discovery = discovery.address();
+  Program program(config.text());
+  ASSERT_TRUE(eventually([&] { return discovery.calls().size() >= 2; }));
+  Wire early = Wire::to(program.port());
+  early.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(status_of(early.read_message()), 503) << "there is no server yet";
+  discovery.answer_with("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                        chunk(list(3, true, member("s0", server.address())) + "\n"));
+  EXPECT_TRUE(eventually([&] {
+    early.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+    return status_of(early.read_message()) == 200;
+  }));
+}
+
+// ---------------------------------------------------------------- life and limits
+
+TEST(Life, SigtermFinishesWhatWasTakenAndEndsWell) {
+  Gate gate;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  Wire taken = d.client();
+  taken.write(Ask{}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  d.program->signal(SIGTERM);
+  Wire late = d.client();  // it goes on accepting for a while
+  late.write(Ask{.id = "late"}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 2; }));
+  ASSERT_TRUE(eventually([&] { return !d.client().is_open(); }));
+  EXPECT_TRUE(d.program->running()) << "two answers are owed";
+  gate.open();
+  for (Wire* client : {&taken, &late}) {
+    const std::string answer = client->read_message();
+    EXPECT_EQ(status_of(answer), 200);
+    EXPECT_EQ(field_of(answer, "Connection"), "close");
+  }
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
+TEST(Life, BadConfigurationsEndWithTheFieldsName) {
+  const auto fails = [](const std::string& config, const std::string& field) {
+    Program program(config, 0, false);
+    EXPECT_EQ(program.exit_status(), 2);
+    const std::string log = program.log();
+    EXPECT_NE(log.find(field), std::string::npos) << log;
+    EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
+  };
+  fails("{", "RELAY_CONFIG");
+  fails("{}", "listen");
+  fails(ConfigText{.listen = "nowhere"}.text(), "listen");
+  fails(ConfigText{.discovery = "1.2.3.4:999999"}.text(), "discovery");
+  fails(ConfigText{.known = "{\"index\":1}"}.text(), "endpoints");
+  fails(ConfigText{.bounds = R"("maxAttempts":0)"}.text(), "max_attempts");
+  Listener taken([](Wire&) {});
+  fails(ConfigText{.listen = taken.address()}.text(), "listen");
+}
+
+TEST(Life, RunningOutOfDescriptorsIsSurvived) {
+  FakeServer server(replies(200, "ok"));
+  ConfigText config;
+  config.sockets = 1024;
+  Deployment d({&server}, config, 64);
+  {
+    std::vector<Wire> crowd;
+    for (int i = 0; i < 200; ++i) crowd.push_back(d.client());
+    ASSERT_TRUE(d.program->running());
+  }
+  int n = 0;
+  EXPECT_TRUE(eventually([&] {
+    Wire client = d.client();
+    client.write(Ask{.id = "after" + std::to_string(++n)}.text());
+    return status_of(client.read_message()) == 200;
+  }));
+}
+
+// The time-out of the attempt, its answer and the client's own end come together: one answer, or a close.
+TEST(Races, ExactlyOneAnswer) {
+  FakeServer server([](Wire& wire, const std::string& request) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(field_of(request, "X-Timeout-Ms")) - 1));
+    return wire.write(http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  std::vector<Wire> clients;
+  for (int i = 0; i < 40; ++i) {
+    clients.push_back(d.client());
+    clients.back().write(Ask{.id = "r" + std::to_string(i), .timeout = std::to_string(200 + i)}.text());
+  }
+  for (int i = 0; i < 40; ++i) {
+    Wire& client = clients[static_cast<std::size_t>(i)];
+    const int first = status_of(client.read_message());
+    EXPECT_TRUE(first == 200 || first == 502 || first == 503) << first;
+    client.write("GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const std::string rest = client.read_rest();
+    EXPECT_EQ(body_of(rest), "ok\n") << "nothing but the next answer follows";
+  }
+}
+
 }  // namespace
 }  // namespace marlspread::node
