--- a/adapter/wirehost.cpp
+++ b/adapter/wirehost.cpp
@@ -1,4 +1,4 @@
-// marlspread_wirehost: hosts balancer copies on the bench's wire (one JSON line in, one out). It parses,
+// thymewood_wirehost: hosts balancer copies on the bench's wire (one JSON line in, one out). It parses,
 // translates, writes and flushes; every decision is the library's.
 #include <cstdio>
 #include <iostream>
@@ -11,18 +11,18 @@
 #include <utility>
 #include <vector>
 
-#include "marlspread/balancer.h"
 #include "rapidjson/document.h"
 #include "rapidjson/error/en.h"
 #include "rapidjson/stringbuffer.h"
 #include "rapidjson/writer.h"
 #include "settings_reader.h"
+#include "thymewood/balancer.h"
 
 namespace {
 
 using Json = rapidjson::Value;
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
-namespace ms = marlspread;
+namespace ms = thymewood;
 
 using namespace ms::json;  // the field readers, named all over this file
 
@@ -278,7 +278,7 @@
       std::fputc('\n', stdout);
       if (std::fflush(stdout) != 0) return 1;
     } catch (const std::exception& problem) {
-      std::fprintf(stderr, "marlspread_wirehost: line %llu, turn %s: %s\n",
+      std::fprintf(stderr, "thymewood_wirehost: line %llu, turn %s: %s\n",
                    static_cast<unsigned long long>(lines), turn.c_str(), problem.what());
       return 2;
     }
--- a/include/marlspread/balancer.h
+++ b/include/thymewood/balancer.h
@@ -1,4 +1,4 @@
-// marlspread: the decisions of a load balancer for services that call services.
+// thymewood: the decisions of a load balancer for services that call services.
 //
 // A Balancer is one copy of the load balancer. It is told what happened (events) and says what to do
 // (actions). It has no clock, no I/O, no threads and no globals: the same settings, seed and events always
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace marlspread {
+namespace thymewood {
 
 // ---------------------------------------------------------------- settings
 
@@ -218,4 +218,4 @@
 std::vector<std::size_t> subset_of(std::size_t copy_index, std::size_t copy_count, std::size_t servers,
                                    std::size_t size);
 
-}  // namespace marlspread
+}  // namespace thymewood
--- a/json/settings_reader.cpp
+++ b/json/settings_reader.cpp
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace marlspread::json {
+namespace thymewood::json {
 
 const Value* find(const Value& object, const char* field) {
   if (!object.IsObject()) throw BadMessage(std::string("not an object where field '") + field + "' belongs");
@@ -136,4 +136,4 @@
   return out;
 }
 
-}  // namespace marlspread::json
+}  // namespace thymewood::json
--- a/json/settings_reader.h
+++ b/json/settings_reader.h
@@ -6,10 +6,10 @@
 #include <stdexcept>
 #include <string_view>
 
-#include "marlspread/balancer.h"
 #include "rapidjson/document.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread::json {
+namespace thymewood::json {
 
 using Value = rapidjson::Value;
 
@@ -36,4 +36,4 @@
 // Throws BadMessage, or std::invalid_argument for a word that is not known.
 Settings read_settings(const Value& in);
 
-}  // namespace marlspread::json
+}  // namespace thymewood::json
--- a/node/clock.h
+++ b/node/clock.h
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <cstdint>
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 class Clock {
  public:
@@ -38,4 +38,4 @@
   timer.cancel(ignored);
 }
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -9,7 +9,7 @@
 #include "rapidjson/error/en.h"
 #include "settings_reader.h"
 
-namespace marlspread::node {
+namespace thymewood::node {
 namespace {
 
 std::uint64_t read_seed(const json::Value& in) {
@@ -92,4 +92,4 @@
   return out;
 }
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/config.h
+++ b/node/config.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "discovery.h"
-#include "marlspread/balancer.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 struct Config {
   std::string name;
@@ -27,4 +27,4 @@
 // Throws std::exception with one line that names the field.
 Config read_config(const std::string& path, const Clock& clock);
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -10,7 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace marlspread::node {
+namespace thymewood::node {
 namespace {
 
 namespace asio = boost::asio;
@@ -216,4 +216,4 @@
   if (!std::exchange(complained_, true)) std::clog << text << '\n';
 }
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -12,10 +12,10 @@
 #include <vector>
 
 #include "clock.h"
-#include "marlspread/balancer.h"
 #include "settings_reader.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 // How discovery names what the module knows by number.
 struct Directory {
@@ -74,4 +74,4 @@
   bool complained_ = false;
 };
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -7,7 +7,7 @@
 #include <utility>
 #include <variant>
 
-namespace marlspread::node {
+namespace thymewood::node {
 namespace {
 
 namespace asio = boost::asio;
@@ -223,4 +223,4 @@
 
 void Dispatcher::perform(const LogLine& action) { std::clog << action.text << '\n'; }
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -13,11 +13,11 @@
 
 #include "clock.h"
 #include "discovery.h"
-#include "marlspread/balancer.h"
 #include "message.h"
+#include "thymewood/balancer.h"
 #include "upstream.h"
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 // A request's final answer.
 struct Answer {
@@ -89,4 +89,4 @@
   bool handling_ = false, module_failed_ = false;
 };
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <utility>
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -499,4 +499,4 @@
   if (sessions_.empty() && drained_) asio::post(io_, std::exchange(drained_, nullptr));
 }
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "dispatcher.h"
-#include "marlspread/balancer.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 // What a request may name, from the settings.
 struct Catalog {
@@ -67,4 +67,4 @@
   std::function<void()> drained_;
 };
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace node = marlspread::node;
+namespace node = thymewood::node;
 
 constexpr int kBadConfiguration = 2;
 
@@ -50,7 +50,7 @@
   }
   asio::io_context io(1);
   const Shares shares(config.sockets);
-  const marlspread::Settings& settings = config.settings;
+  const thymewood::Settings& settings = config.settings;
   node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream});
   node::Dispatcher* to = nullptr;
   node::Discovery discovery(
--- a/node/message.h
+++ b/node/message.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
@@ -25,4 +25,4 @@
   }
 }
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -370,4 +370,4 @@
   report(outcome, std::move(answer));
 }
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -10,10 +10,10 @@
 #include <string>
 
 #include "clock.h"
-#include "marlspread/balancer.h"
 #include "message.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 class Upstream {
  public:
@@ -69,4 +69,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,15 +1,15 @@
-// All decisions of marlspread. The interface, that is the types, events and actions, is
-// include/marlspread/balancer.h; read it first. Reading order here: the constants, then one section for each
+// All decisions of thymewood. The interface, that is the types, events and actions, is
+// include/thymewood/balancer.h; read it first. Reading order here: the constants, then one section for each
 // question: admit? who is there? is it healthy? which server? how long? again? and last the events.
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <unordered_map>
 
-#include "marlspread/balancer.h"
 #include "support.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread {
+namespace thymewood {
 namespace {
 
 // ---------------------------------------------------------------- constants
@@ -618,4 +618,4 @@
 
 TenantView Balancer::tenant(double now, std::size_t tenant) const { return impl_->view(now, tenant); }
 
-}  // namespace marlspread
+}  // namespace thymewood
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -5,11 +5,11 @@
 
 #include "support.h"
 
-namespace marlspread {
+namespace thymewood {
 namespace {
 
 void require(bool good, const std::string& what) {
-  if (!good) throw std::invalid_argument("marlspread settings: " + what);
+  if (!good) throw std::invalid_argument("thymewood settings: " + what);
 }
 
 // Refuses NaN and infinities too.
@@ -46,4 +46,4 @@
   }
 }
 
-}  // namespace marlspread
+}  // namespace thymewood
--- a/src/support.h
+++ b/src/support.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "marlspread/balancer.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread {
+namespace thymewood {
 
 // Throws std::invalid_argument, naming the field, when the settings cannot be used.
 void validate(const Settings& settings);
@@ -131,4 +131,4 @@
   }
 };
 
-}  // namespace marlspread
+}  // namespace thymewood
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -116,7 +116,7 @@
     const Ran r = run({line});
     EXPECT_NE(r.code, 0);
     EXPECT_TRUE(r.lines.empty());
-    EXPECT_TRUE(has(r.errors, "marlspread_wirehost: line 1, turn " + turn + ": ")) << r.errors;
+    EXPECT_TRUE(has(r.errors, "thymewood_wirehost: line 1, turn " + turn + ": ")) << r.errors;
     EXPECT_EQ(std::count(r.errors.begin(), r.errors.end(), '\n'), 1) << r.errors;
     EXPECT_TRUE(has(r.errors, part)) << r.errors;
   };
--- a/tests/checks.sh
+++ b/tests/checks.sh
@@ -27,12 +27,12 @@
       xargs -P "$(nproc)" -I{} sh -c 'case {} in node/*) less=--checks=-clang-analyzer-* ;; *) less= ;; esac
         clang-tidy -p "$0" --quiet --warnings-as-errors="*" $less {}' "$scratch" ;;
   sanitizers)
-    cmake -B "$scratch" -DCMAKE_BUILD_TYPE=Debug -DMARLSPREAD_BUILD_TESTS=ON -DMARLSPREAD_SANITIZE=ON \
-      -DMARLSPREAD_UNIT_TESTS_ONLY=ON
+    cmake -B "$scratch" -DCMAKE_BUILD_TYPE=Debug -DTHYMEWOOD_BUILD_TESTS=ON -DTHYMEWOOD_SANITIZE=ON \
+      -DTHYMEWOOD_UNIT_TESTS_ONLY=ON
     cmake --build "$scratch" -j4
     ctest --test-dir "$scratch" --output-on-failure -j4 ;;
   consumer)  # an installed package, found and used
-    cmake -B "$scratch/library" -DMARLSPREAD_BUILD_ADAPTER=OFF -DMARLSPREAD_BUILD_NODE=OFF
+    cmake -B "$scratch/library" -DTHYMEWOOD_BUILD_ADAPTER=OFF -DTHYMEWOOD_BUILD_NODE=OFF
     cmake --build "$scratch/library" -j4
     cmake --install "$scratch/library" --prefix "$scratch/installed"
     cmake -S tests/consumer -B "$scratch/consumer" -DCMAKE_PREFIX_PATH="$scratch/installed"
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -3,25 +3,25 @@
 #include <variant>
 #include <vector>
 
-#include "marlspread/balancer.h"
+#include "thymewood/balancer.h"
 
 int main() {
-  marlspread::Settings settings;
-  marlspread::RequestClass lookup;
+  thymewood::Settings settings;
+  thymewood::RequestClass lookup;
   lookup.aim = 0.5;
   lookup.give_up = 2;
-  lookup.effect = marlspread::Effect::kSafe;
+  lookup.effect = thymewood::Effect::kSafe;
   settings.classes = {lookup};
   settings.max_attempts = 3;
 
-  marlspread::Balancer balancer(settings, 42);
-  std::vector<marlspread::Action> actions;
-  marlspread::MembershipUpdate members;
+  thymewood::Balancer balancer(settings, 42);
+  std::vector<thymewood::Action> actions;
+  thymewood::MembershipUpdate members;
   members.servers.push_back({.address = "10.0.0.1:80"});
   balancer.handle(0.0, members, actions);
-  balancer.handle(0.1, marlspread::Request{.id = "r1", .time_left = 2}, actions);
-  for (const marlspread::Action& action : actions) {
-    if (const auto* send = std::get_if<marlspread::Send>(&action)) {
+  balancer.handle(0.1, thymewood::Request{.id = "r1", .time_left = 2}, actions);
+  for (const thymewood::Action& action : actions) {
+    if (const auto* send = std::get_if<thymewood::Send>(&action)) {
       std::cout << send->id << " -> " << send->server << ", time-out " << send->timeout << " s\n";
       return 0;
     }
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -6,9 +6,9 @@
 #include <variant>
 #include <vector>
 
-#include "marlspread/balancer.h"
+#include "thymewood/balancer.h"
 
-namespace marlspread {
+namespace thymewood {
 
 inline RequestClass class_of(Effect effect, DedupScope scope = DedupScope::kCell) {
   RequestClass c;
@@ -82,4 +82,4 @@
   return out;
 }
 
-}  // namespace marlspread
+}  // namespace thymewood
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -5,7 +5,7 @@
 
 #include "harness.h"
 
-namespace marlspread {
+namespace thymewood {
 namespace {
 
 // An allowance that no test here reaches: admission stays out of the way.
@@ -256,4 +256,4 @@
 }
 
 }  // namespace
-}  // namespace marlspread
+}  // namespace thymewood
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -10,7 +10,7 @@
 
 #include "harness.h"
 
-namespace marlspread {
+namespace thymewood {
 namespace {
 
 TEST(Suppression, FollowsTheWorkedFigures) {
@@ -426,4 +426,4 @@
 }
 
 }  // namespace
-}  // namespace marlspread
+}  // namespace thymewood
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -30,7 +30,7 @@
 #include <utility>
 #include <vector>
 
-namespace marlspread::node {
+namespace thymewood::node {
 
 using namespace std::chrono_literals;
 constexpr auto kPatience = 20s;  // a machine may be slow; a test that fails may take its time
@@ -476,4 +476,4 @@
   }
 };
 
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,7 +1,7 @@
 // The real node, over loopback sockets.
 #include "node_harness.h"
 
-namespace marlspread::node {
+namespace thymewood::node {
 namespace {
 
 TEST(Node, ServesARequestUnchanged) {
@@ -423,4 +423,4 @@
 }
 
 }  // namespace
-}  // namespace marlspread::node
+}  // namespace thymewood::node
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -8,7 +8,7 @@
 
 #include "harness.h"
 
-namespace marlspread {
+namespace thymewood {
 namespace {
 
 struct Sent {
@@ -221,4 +221,4 @@
 }
 
 }  // namespace
-}  // namespace marlspread
+}  // namespace thymewood
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -6,7 +6,7 @@
 
 #include "harness.h"
 
-namespace marlspread {
+namespace thymewood {
 namespace {
 
 std::size_t finals(const std::vector<Action>& actions) {
@@ -281,4 +281,4 @@
 }
 
 }  // namespace
-}  // namespace marlspread
+}  // namespace thymewood
