Keep first requests that cross a drain, watch by itself where lists are pushed, forget servers that are gone

Found by going through the sources against the protocol, each with a test but the module's fault: - at the end of the drain's accepting, a connection that had just been made was closed as idle, though its first request may be on its way (ruled out: those that had served; they may be closed between requests); - with pushed lists the module asks for no watch, so none was ever made; - pools of servers that are gone stayed for good, under names that never come back; - a request that the module fails over before a send is answered at once instead of by its guard.

--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -19,6 +19,7 @@
 constexpr double kMargin = 0.040;
 // s. If by then, for whatever reason, there is no answer, the node fails the request itself.
 constexpr double kGuardMargin = 0.020;
+constexpr double kReconnect = 1;  // s; mean wait before a broken watch is made anew, where lists are pushed
 
 }  // namespace
 
@@ -29,6 +30,8 @@
     : io_(io),
       clock_(clock),
       balancer_(settings, seed),
+      must_watch_(settings.must_watch),
+      jitter_(static_cast<std::minstd_rand::result_type>(seed)),
       max_open_(max_open),
       busy_retry_after_(settings.max_retry_after / 2),
       upstream_(upstream),
@@ -37,6 +40,7 @@
 void Dispatcher::start(const Membership& known) {
   if (!known.members.empty()) members(known);
   happen(Started{});
+  if (!must_watch_) watch_();
 }
 
 void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to) {
@@ -79,8 +83,13 @@
   for (const Member& member : update.members) {
     const Server& server = member.server;
     const bool ready = server.state == ServerState::kReady;
-    upstream_.place(server.address, member.endpoint, server.started, ready);
     set_ready(ready_by_name_[server.address], ready);
+    if (server.state == ServerState::kGone) {
+      upstream_.retire(server.address);
+      ready_by_name_.erase(server.address);
+    } else {
+      upstream_.place(server.address, member.endpoint, server.started, ready);
+    }
     listed[server.address] = true;
     event.servers.push_back(server);
   }
@@ -97,7 +106,16 @@
   happen(std::move(event));
 }
 
-void Dispatcher::watch_failed() { happen(MembershipUpdate{MembershipUpdate::Form::kFailed, {}}); }
+void Dispatcher::watch_failed() {
+  happen(MembershipUpdate{MembershipUpdate::Form::kFailed, {}});
+  if (must_watch_) return;
+  // Where lists are pushed the module asks for none: it is for the node to stay connected.
+  const double wait = kReconnect * std::uniform_real_distribution<>(0.5, 1.5)(jitter_);
+  const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(wait));
+  timer->async_wait([this, timer](error_code cancelled) {
+    if (!cancelled) watch_();
+  });
+}
 
 // ---------------------------------------------------------------- events to actions
 
@@ -115,15 +133,22 @@
 
 void Dispatcher::handle(const Event& event) {
   std::vector<Action> actions;
+  bool failed = false;
   try {
     balancer_.handle(clock_.now(), event, actions);
   } catch (const std::exception& problem) {
     // The guard of each request still answers it in time. Once a log line: the next may fail the same way.
+    failed = true;
     if (!std::exchange(module_failed_, true)) std::clog << "module: " << problem.what() << '\n';
   }
   for (const Action& action : actions) {
     std::visit([this](const auto& a) { perform(a); }, action);
   }
+  // One that it failed over before anything was sent is answered at once.
+  const Request* request = failed ? std::get_if<Request>(&event) : nullptr;
+  if (request == nullptr) return;
+  const auto at = held_.find(request->id);
+  if (at != held_.end() && !at->second.any_open()) perform(Fail{request->id});
 }
 
 void Dispatcher::attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -78,6 +79,8 @@
   boost::asio::io_context& io_;
   const Clock& clock_;
   Balancer balancer_;
+  bool must_watch_;
+  std::minstd_rand jitter_;
   std::size_t max_open_;
   double busy_retry_after_;
   Upstream& upstream_;
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -25,12 +25,13 @@
 
 namespace {
 
-constexpr double kFirstWait = 15;  // s; for the first byte on a new connection
-constexpr double kIdleWait = 120;  // s; between requests
-constexpr double kReadWait = 5;    // s; from the first byte of a request to its last
-constexpr double kWriteWait = 5;   // s; for a client to take an answer
-constexpr double kLinger = 0.5;    // s; for a client to read the last answer before the connection is closed
-constexpr double kAcceptOn = 0.5;  // s; of accepting after the drain has begun
+constexpr double kFirstWait = 15;   // s; for the first byte on a new connection
+constexpr double kIdleWait = 120;   // s; between requests
+constexpr double kReadWait = 5;     // s; from the first byte of a request to its last
+constexpr double kWriteWait = 5;    // s; for a client to take an answer
+constexpr double kLinger = 0.5;     // s; for a client to read the last answer before the connection is closed
+constexpr double kFreshWait = 1.5;  // s; after that, for a first request on a connection that was just made
+constexpr double kAcceptOn = 0.5;   // s; of accepting after the drain has begun
 constexpr double kAcceptPause = 0.02;  // s; after an accept that failed
 constexpr std::size_t kReadSize = 4096;
 constexpr std::size_t kMostAhead =
@@ -84,6 +85,8 @@
     error_code ignored;
     return socket_.available(ignored) > 0;
   }
+  bool has_served() const { return served_; }
+  void hurry(double seconds) { allow(seconds); }
   // Ends it without a word.
   void close() {
     if (state_ == State::kClosed) return;
@@ -344,6 +347,7 @@
   void respond(HttpResponse&& response) {
     leave_idle();
     state_ = State::kWriting;
+    served_ = true;
     if (owner_->draining_ || turned_away_) keep_alive_ = false;
     response_ = std::move(response);
     response_.version(11);
@@ -378,6 +382,7 @@
   bool turned_away_;
   State state_ = State::kReading;
   bool reading_ = false;  // a read is out
+  bool served_ = false;   // has had an answer
   bool begun_ = false;    // a byte of the request has come
   bool keep_alive_ = true, continue_sent_ = false;
   std::array<char, kReadSize> scratch_{};
@@ -493,7 +498,14 @@
   acceptor_.close(bad);
   std::vector<std::shared_ptr<Session>> quiet;
   for (const std::shared_ptr<Session>& session : sessions_) {
-    if (session->is_idle() && !session->has_unread()) quiet.push_back(session);
+    if (!session->is_idle() || session->has_unread()) continue;
+    // Danger: the first request on a new connection may be on its way, and its client has nothing to tell it
+    // that the connection was closed for good reason.
+    if (session->has_served()) {
+      quiet.push_back(session);
+    } else {
+      session->hurry(kFreshWait);
+    }
   }
   for (const std::shared_ptr<Session>& session : quiet) session->close();
   if (sessions_.empty() && drained_) asio::post(io_, std::exchange(drained_, nullptr));
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -115,6 +115,7 @@
   if (at == pools_.end()) return;
   at->second->usable = false;
   drop_idle(*at->second);
+  pools_.erase(at);  // what is still out on its connections holds on to it; names are ever new
 }
 
 Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const HttpRequest>& request,
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -297,6 +297,48 @@
   EXPECT_NE(d.discovery.calls()[1].find("watch=1&after=9 "), std::string::npos);
 }
 
+TEST(Watch, WhereListsArePushedTheNodeStaysConnectedByItself) {
+  FakeServer server(replies(200, "ok"));
+  FakeDiscovery discovery;
+  ConfigText config;
+  config.discovery = discovery.address();
+  config.mode = "automatic";
+  Program program(config.text());
+  ASSERT_TRUE(eventually([&] { return discovery.calls().size() == 1; }));
+  discovery.answer_with("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                        chunk(list(3, true, member("s0", server.address())) + "\n"));
+  // The call may not have been written down as the current one yet.
+  EXPECT_TRUE(eventually([&] {
+    discovery.hang_up();
+    return discovery.calls().size() >= 2;
+  }));
+  EXPECT_TRUE(eventually([&] {
+    Wire client = Wire::to(program.port());
+    client.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+    return status_of(client.read_message()) == 200;
+  }));
+}
+
+// A server that leaves and comes back is served anew; one that drains gets nothing.
+TEST(Watch, RemovedAndBackAgain) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  int n = 0;
+  const auto status = [&] {
+    Wire client = d.client();
+    client.write(Ask{.id = "b" + std::to_string(++n)}.text());
+    return status_of(client.read_message());
+  };
+  EXPECT_EQ(status(), 200);
+  for (const char* state : {"removed", "draining"}) {
+    d.discovery.say(list(8, false, member("s0", server.address(), state)));
+    EXPECT_TRUE(eventually([&] { return status() == 503; }));
+    EXPECT_TRUE(eventually([&] { return server.listener().open() == 0; })) << "idle connections are dropped";
+    d.discovery.say(list(9, false, member("s0", server.address())));
+    EXPECT_TRUE(eventually([&] { return status() == 200; }));
+  }
+}
+
 TEST(Watch, ASilentOneIsGivenUp) {
   FakeServer server(replies(200, "ok"));
   Deployment d({&server});
@@ -364,6 +406,17 @@
   EXPECT_EQ(d.program->exit_status(), 0);
 }
 
+TEST(Life, AFirstRequestThatCrossesTheDrainIsServed) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  Wire fresh = d.client();
+  d.program->signal(SIGTERM);
+  ASSERT_TRUE(eventually([&] { return !d.client().is_open(); }));
+  fresh.write(Ask{}.text());
+  EXPECT_EQ(status_of(fresh.read_message()), 200);
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
 TEST(Life, BadConfigurationsEndWithTheFieldsName) {
   const auto fails = [](const std::string& config, const std::string& field) {
     Program program(config, 0, false);
