Hold a connection for as long as a read or write on it is out

Ruled out: slowness (the program had gone, at once). Cause, from the address sanitizer's trace: an attempt that times out while its read is out drops the last hold on its connection, and the read's completion then commits to the freed buffer. The handlers of reads and writes now hold the connection. The harness also fails a test whose node does not exit 0, and prints its log.

--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -289,10 +289,12 @@
 void Upstream::Attempt::begin(Upstream& owner, const std::shared_ptr<Attempt>& self,
                               std::shared_ptr<Connection> on) {
   connection = std::move(on);
+  // Danger: an attempt that ends lets go of its connection while the socket's operation is still to be called
+  // off, and that one works on the connection's buffer: each operation holds on to it.
   request.set(http::field::host,
               pool->where.address().to_string() + ":" + std::to_string(pool->where.port()));
   http::async_write(connection->socket, request,
-                    [&owner, alive = owner.alive_, self](error_code problem, std::size_t) {
+                    [&owner, alive = owner.alive_, self, held = connection](error_code problem, std::size_t) {
                       if (!*alive || self->ended) return;
                       // The last byte was not written: it can't have run.
                       if (problem) return owner.finish(self, Outcome::kDialFailed, false);
@@ -312,24 +314,25 @@
 }
 
 void Upstream::Attempt::read_more(Upstream& owner, const std::shared_ptr<Attempt>& self) {
-  http::async_read_some(connection->socket, connection->buffer, *parser,
-                        [&owner, alive = owner.alive_, self](error_code problem, std::size_t) {
-                          if (!*alive || self->ended) return;
-                          if (problem && !self->parser->is_done()) {
-                            const bool broken = problem == http::error::end_of_stream ||
-                                                problem == http::error::partial_message ||
-                                                problem.category() == boost::system::system_category() ||
-                                                problem.category() == asio::error::get_misc_category();
-                            // What can't be read as an answer came from a server that had the request: it may
-                            // have run too.
-                            return owner.finish(self, broken ? Outcome::kReset : Outcome::kUnknown, false);
-                          }
-                          if (self->parser->get().body().size() > kBodyLimit) {
-                            return owner.finish(self, Outcome::kUnknown, false);
-                          }
-                          if (self->parser->is_done()) return self->answered(owner, self);
-                          self->read_more(owner, self);
-                        });
+  http::async_read_some(
+      connection->socket, connection->buffer, *parser,
+      [&owner, alive = owner.alive_, self, held = connection](error_code problem, std::size_t) {
+        if (!*alive || self->ended) return;
+        if (problem && !self->parser->is_done()) {
+          const bool broken = problem == http::error::end_of_stream ||
+                              problem == http::error::partial_message ||
+                              problem.category() == boost::system::system_category() ||
+                              problem.category() == asio::error::get_misc_category();
+          // What can't be read as an answer came from a server that had the request: it may
+          // have run too.
+          return owner.finish(self, broken ? Outcome::kReset : Outcome::kUnknown, false);
+        }
+        if (self->parser->get().body().size() > kBodyLimit) {
+          return owner.finish(self, Outcome::kUnknown, false);
+        }
+        if (self->parser->is_done()) return self->answered(owner, self);
+        self->read_more(owner, self);
+      });
 }
 
 void Upstream::Attempt::answered(Upstream& owner, const std::shared_ptr<Attempt>& self) {
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -382,8 +382,9 @@
   ~Program() {
     if (pid_ > 0) {
       ::kill(pid_, SIGTERM);
-      exit_status();
+      EXPECT_EQ(exit_status(), 0) << log();  // also what the sanitizers found
     }
+    if (testing::Test::HasFailure()) std::fputs(log().c_str(), stderr);
     std::remove((base_ + ".json").c_str());
     std::remove((base_ + ".log").c_str());
   }
