Take SIGHUP: read the file again and follow discovery to its new address

Cause: main.cpp waited for SIGTERM and SIGINT only, so SIGHUP's default action ended the process; and Discovery held one address for good. Ruled out: a crash in the code (129 is 128 + SIGHUP; nothing in the log). Mend: the signal sets stand before the configuration is read; at SIGHUP the file is read again and only discovery is switched, at once, asking for the whole list (nothing in the protocol says that versions are counted alike at both addresses). A re-watch timer no longer replaces a watch that is open. A bad file is one log line.

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -21,6 +21,9 @@
 // s. An empty line comes every 2 s: two that are missed, and some lateness, tell of a watch that is dead.
 // Danger: what discovery has to tell counts as told 6 s later, so that a longer patience breaks a drain.
 constexpr double kSilence = 4.5;
+// At a new address, before the module hears of a failure: watches tried, and the pause between them in s.
+constexpr int kFirstTries = 4;
+constexpr double kFirstPause = 0.3;
 constexpr double kDial = 1.5;  // s; for the connection alone
 constexpr std::size_t kLongestLine = std::size_t{4} * 1024 * 1024;
 
@@ -177,18 +180,35 @@
       where_(std::move(where)),
       directory_(std::move(directory)),
       clock_(clock),
-      listener_(std::move(listener)) {}
+      listener_(std::move(listener)),
+      again_(io) {}
 
 Discovery::~Discovery() {
   if (watch_) watch_->abandon();
 }
 
+// Guards against a timer for a new watch that was set before discovery moved: a second call would cost its
+// turn at a discovery that works through calls one by one, and the first one's answer with it.
 void Discovery::watch() {
+  if (!watch_ && tries_left_ == 0) open();
+}
+
+void Discovery::open() {
   if (watch_) watch_->abandon();
   watch_ = std::make_shared<Watch>(*this);
   watch_->start(where_, index_);
 }
 
+void Discovery::move_to(const tcp::endpoint& where) {
+  if (where == where_ && watch_) return;
+  where_ = where;
+  // Nothing says that versions are counted alike at both addresses: a change between them must not be missed.
+  index_ = 0;
+  tries_left_ = kFirstTries;
+  halt(again_);
+  open();
+}
+
 void Discovery::take_line(const std::shared_ptr<Watch>& from, std::string_view line) {
   Membership update;
   try {
@@ -202,6 +222,7 @@
     return from->end();
   }
   complained_ = false;
+  tries_left_ = 0;
   index_ = update.index;
   listener_.update(update);
 }
@@ -209,6 +230,15 @@
 void Discovery::end(const std::shared_ptr<Watch>& from) {
   if (watch_ != from) return;
   watch_.reset();
+  // Danger: what discovery has to tell counts as told soon after a move, and the module's own pause, which
+  // has grown with each failure at the old address, may be longer than that.
+  if (tries_left_ > 0 && --tries_left_ > 0) {
+    again_.expires_after(Clock::span(kFirstPause));
+    again_.async_wait([this](error_code cancelled) {
+      if (!cancelled) open();
+    });
+    return;
+  }
   listener_.failed();
 }
 
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -54,14 +55,17 @@
   Discovery(const Discovery&) = delete;
   Discovery& operator=(const Discovery&) = delete;
 
-  // Asks for the changes after the list in hand; a watch that is open is replaced.
+  // Asks for the changes after the list in hand, unless a watch is open or about to be.
   void watch();
+  // Discovery has moved: the watch goes on at the new address, with the whole list.
+  void move_to(const boost::asio::ip::tcp::endpoint& where);
   void set_index(std::uint64_t index) { index_ = index; }
 
  private:
   class Watch;
   void take_line(const std::shared_ptr<Watch>& from, std::string_view line);
   void end(const std::shared_ptr<Watch>& from);
+  void open();
   void complain(const std::string& text);
 
   boost::asio::io_context& io_;
@@ -71,6 +75,8 @@
   Listener listener_;
   std::uint64_t index_ = 0;
   std::shared_ptr<Watch> watch_;
+  boost::asio::steady_timer again_;  // until a first watch at a new address is tried once more
+  int tries_left_ = 0;
   bool complained_ = false;
 };
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -39,7 +39,27 @@
   std::size_t clients = 0, overflow = 0, upstream = 0;
 };
 
+// At each SIGHUP: the file is read again, and discovery followed to where it says. All else stays as it is.
+void reload_on(asio::signal_set& hangups, const char* path, const node::Clock& clock,
+               node::Discovery& discovery) {
+  hangups.async_wait([&hangups, path, &clock, &discovery](boost::system::error_code bad, int) {
+    if (bad) return;
+    try {
+      const node::Config config = node::read_config(path, clock);
+      discovery.move_to(config.discovery);
+      std::clog << "reload: discovery at " << config.discovery << '\n';
+    } catch (const std::exception& problem) {
+      std::clog << "reload: " << problem.what() << "; all stays as it was\n";
+    }
+    reload_on(hangups, path, clock, discovery);
+  });
+}
+
 int run(const char* path) {
+  // Danger: a signal that comes before these stand would end the process. What comes between here and the
+  // first wait is kept for it.
+  asio::io_context io(1);
+  asio::signal_set hangups(io, SIGHUP), signals(io, SIGTERM, SIGINT);
   const node::Clock clock;
   node::Config config;
   try {
@@ -48,7 +68,6 @@
     std::cerr << "thymewood: " << problem.what() << '\n';
     return kBadConfiguration;
   }
-  asio::io_context io(1);
   const Shares shares(config.sockets);
   const thymewood::Settings& settings = config.settings;
   node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream});
@@ -72,7 +91,7 @@
     dispatcher.start(config.known);
     frontend.start();
     std::clog << "thymewood " << config.name << ": listening on " << frontend.local() << '\n';
-    asio::signal_set signals(io, SIGTERM, SIGINT);
+    reload_on(hangups, path, clock, discovery);
     signals.async_wait([&](boost::system::error_code bad, int) {
       if (!bad) frontend.drain([&io] { io.stop(); });
     });
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -307,24 +307,28 @@
 // The watch: each call is answered by a head and `first`, if there is one; more is pushed by say().
 class FakeDiscovery {
  public:
-  FakeDiscovery()
-      : listener_([this](Wire& wire) {
-          const std::string call = wire.read_message();
-          if (call.empty()) return;
-          std::string first;
-          {
-            const std::lock_guard lock(mutex_);
-            calls_.push_back(call);
-            first = answer_;
-            if (first.empty()) first = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n");
-            current_ = &wire;
-          }
-          wire.write(first);
-          wire.read_rest();
-          const std::lock_guard lock(mutex_);
-          if (current_ == &wire) current_ = nullptr;
-        }) {}
+  explicit FakeDiscovery(int port = 0)
+      : listener_(
+            [this](Wire& wire) {
+              const std::string call = wire.read_message();
+              if (call.empty()) return;
+              std::string first;
+              {
+                const std::lock_guard lock(mutex_);
+                calls_.push_back(call);
+                first = answer_;
+                if (first.empty())
+                  first = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n");
+                current_ = &wire;
+              }
+              wire.write(first);
+              wire.read_rest();
+              const std::lock_guard lock(mutex_);
+              if (current_ == &wire) current_ = nullptr;
+            },
+            port) {}
   std::string address() const { return listener_.address(); }
+  Listener& listener() { return listener_; }
   // What the calls from now on are answered, head and all.
   void answer_with(const std::string& bytes) {
     const std::lock_guard lock(mutex_);
@@ -408,6 +412,18 @@
     return out.str();
   }
   void signal(int number) const { ::kill(pid_, number); }
+  void reload(const std::string& config) const {
+    std::ofstream(base_ + ".new") << config;  // replaced whole, as a deployment does it
+    std::rename((base_ + ".new").c_str(), (base_ + ".json").c_str());
+    signal(SIGHUP);
+  }
+  // How often a text stands in the log.
+  int logged(const std::string& text) const {
+    const std::string all = log();
+    int times = 0;
+    for (std::size_t at = all.find(text); at != std::string::npos; at = all.find(text, at + 1)) ++times;
+    return times;
+  }
   bool running() {
     if (pid_ > 0 && ::waitpid(pid_, &status_, WNOHANG) == pid_) pid_ = -1;
     return pid_ > 0;
@@ -456,11 +472,13 @@
     }
     config.known = list(7, true, members);
     config.discovery = discovery.address();
+    told = config;
     program = std::make_unique<Program>(config.text(), descriptors);
   }
   Wire client() const { return Wire::to(program->port()); }
 
   FakeDiscovery discovery;
+  ConfigText told;
   std::unique_ptr<Program> program;
 };
 
--- /dev/null
+++ b/tests/reload_test.cpp
@@ -0,0 +1,111 @@
+// SIGHUP: the file is read again, and discovery followed to its new address.
+#include "node_harness.h"
+
+namespace thymewood::node {
+namespace {
+
+std::string watch_head() { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"; }
+
+bool serves(const Deployment& d, const std::string& body) {
+  static std::atomic<int> n = 0;
+  return eventually([&] {
+    Wire client = d.client();
+    client.write(Ask{.id = "reload" + std::to_string(++n)}.text());
+    return body_of(client.read_message()) == body;
+  });
+}
+
+// Guards against a node that ends on SIGHUP, stays with the old address, or trusts the old one's versions.
+TEST(Reload, FollowsDiscoveryAndAsksForTheWholeList) {
+  FakeServer old_server(replies(200, "old")), new_server(replies(200, "new"));
+  Deployment d({&old_server});
+  ASSERT_TRUE(eventually([&] { return d.discovery.calls().size() == 1; }));
+  FakeDiscovery moved;
+  moved.answer_with(watch_head() + chunk(list(3, true, member("n0", new_server.address())) + "\n"));
+  ConfigText config = d.told;
+  config.discovery = moved.address();
+  d.program->reload(config.text());
+  ASSERT_TRUE(serves(d, "new"));
+  ASSERT_FALSE(moved.calls().empty());
+  EXPECT_EQ(moved.calls()[0].find("after="), std::string::npos) << moved.calls()[0];
+  EXPECT_TRUE(eventually([&] { return d.discovery.listener().open() == 0; })) << "the old watch is closed";
+  EXPECT_EQ(d.discovery.calls().size(), 1U);
+}
+
+TEST(Reload, ABadFileIsOneLineAndChangesNothing) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  ASSERT_TRUE(eventually([&] { return d.discovery.calls().size() == 1; }));
+  const std::vector<std::string> bad = {"{\"name\":", "", "{}", ConfigText{.discovery = "nowhere"}.text()};
+  for (std::size_t i = 0; i < bad.size(); ++i) {
+    d.program->reload(bad[i]);
+    ASSERT_TRUE(eventually([&] { return d.program->logged("reload: ") == static_cast<int>(i + 1); }))
+        << d.program->log();
+  }
+  EXPECT_TRUE(serves(d, "ok"));
+  // The watch goes on: what it tells is still heard.
+  d.discovery.say(list(8, false, member("s0", server.address(), "draining")));
+  EXPECT_TRUE(eventually([&] {
+    Wire client = d.client();
+    client.write(Ask{.id = "drained"}.text());
+    return status_of(client.read_message()) == 503;
+  }));
+}
+
+TEST(Reload, RepeatsLeaveOneWatchAtTheLastAddress) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  FakeDiscovery one, two;
+  for (int i = 0; i < 20; ++i) {
+    ConfigText config = d.told;
+    config.discovery = (i % 2 == 0 ? one : two).address();
+    d.program->reload(config.text());
+    ASSERT_TRUE(d.program->running());
+  }
+  EXPECT_TRUE(eventually([&] {
+    return one.listener().open() == 0 && d.discovery.listener().open() == 0 && two.listener().open() == 1;
+  }));
+  EXPECT_TRUE(serves(d, "ok"));
+}
+
+// Guards against waiting out the pause that has grown with the failures at the old address.
+TEST(Reload, AFirstDialThatFailsIsTriedAgain) {
+  FakeServer old_server(replies(200, "old")), new_server(replies(200, "new"));
+  Deployment d({&old_server});
+  int port = 0;
+  {
+    FakeDiscovery gone;
+    port = gone.listener().port();
+  }
+  ConfigText config = d.told;
+  config.discovery = "127.0.0.1:" + std::to_string(port);
+  d.program->reload(config.text());
+  ASSERT_TRUE(eventually([&] { return d.program->logged("reload: ") == 1; }));
+  FakeDiscovery moved(port);
+  moved.answer_with(watch_head() + chunk(list(3, true, member("n0", new_server.address())) + "\n"));
+  EXPECT_TRUE(serves(d, "new"));
+}
+
+TEST(Reload, WhileDrainingItIsNoEnd) {
+  Gate gate;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  client.write(Ask{}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  d.program->signal(SIGTERM);
+  FakeDiscovery moved;
+  ConfigText config = d.told;
+  config.discovery = moved.address();
+  d.program->reload(config.text());
+  EXPECT_TRUE(eventually([&] { return moved.calls().size() == 1; }));
+  gate.open();
+  EXPECT_EQ(status_of(client.read_message()), 200);
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
+}  // namespace
+}  // namespace thymewood::node
