Bound what bad clients and bad servers can do: times, buffers, freed connections

Seen, by reading, and confirmed on loopback sockets by tests that failed before: - bad servers: release() handed a freed connection to the attempt that waited without a look at it, so that a second copy left in the socket answered the next request (a lost one). A connection now rests 4 ms after an answer, is looked at before each write, and one with bytes before the request's last byte is closed: nothing has run then, so that the outcome is exact. The unparsed part of an answer has a bound (endless chunk heads were taken in). - address reuse: who waited for a dial to a server that has gone was sent to whatever stands at its address now. - X-Timeout-Ms was set before the wait for a connection; it is set as the request is written. - bad clients: 15 s for a first byte, 5 s from a first byte on; now 2.5 s from the connection to the last byte of the first request. Silent connections pushed out callers between two requests: who never asked goes first. Read-ahead is 20 KiB, not 80, and is given back when idle. Request validation has its own file.

--- a/node/config.cpp
+++ b/node/config.cpp
@@ -63,6 +63,11 @@
   const int sockets = limits != nullptr ? json::whole_or(*limits, "sockets", kUsualSockets) : kUsualSockets;
   if (sockets < kFewestSockets) json::wrong("sockets", "at least 64");
   out.sockets = static_cast<std::size_t>(sockets);
+  constexpr int kUsualMemory = 192, kLeastMemory = 8;
+  constexpr std::size_t kMega = std::size_t{1024} * 1024;
+  const int memory = limits != nullptr ? json::whole_or(*limits, "memory_mb", kUsualMemory) : kUsualMemory;
+  if (memory < kLeastMemory) json::wrong("memory_mb", "at least 8");
+  out.memory = static_cast<std::size_t>(memory) * kMega;
 
   const json::Value& settings = json::need(in, "settings");
   out.settings = json::read_settings(settings);
--- a/node/config.h
+++ b/node/config.h
@@ -15,6 +15,7 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::uint64_t seed = 0;
+  std::size_t memory = 0;    // bytes that the process may take
   std::size_t sockets = 0;   // descriptors that the process may hold
   std::size_t max_open = 0;  // requests that the module may be given at once
   double dial_timeout = 0, idle_close = 0;
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -126,7 +126,12 @@
   while (!events_.empty()) {
     const Event next = std::move(events_.front());
     events_.pop_front();
-    handle(next);
+    // Danger: an exception that got out of here would leave the module unasked for good.
+    try {
+      handle(next);
+    } catch (const std::exception& problem) {
+      if (!std::exchange(failed_, true)) std::clog << "dispatcher: " << problem.what() << '\n';
+    }
   }
   handling_ = false;
 }
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -89,7 +89,7 @@
   std::unordered_map<std::string, bool> ready_by_name_;
   std::size_t ready_ = 0;
   std::deque<Event> events_;
-  bool handling_ = false, module_failed_ = false;
+  bool handling_ = false, failed_ = false, module_failed_ = false;
 };
 
 }  // namespace thymewood::node
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -1,15 +1,13 @@
 #include "frontend.h"
 
 #include <fcntl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <charconv>
 #include <cstdio>
 #include <iostream>
 #include <optional>
@@ -25,41 +23,38 @@
 
 namespace {
 
-constexpr double kFirstWait = 15;   // s; for the first byte on a new connection
-constexpr double kIdleWait = 120;   // s; between requests
-constexpr double kReadWait = 5;     // s; from the first byte of a request to its last
-constexpr double kWriteWait = 5;    // s; for a client to take an answer
+// s; from the connection to the last byte of its first request. Who has not asked by then is told so or
+// closed on within 3 s.
+constexpr double kFirstWait = 2.5;
+constexpr double kReadWait = 2.5;    // s; from the first byte of a later request to its last
+constexpr double kIdleWait = 10;     // s; between requests
+constexpr double kErrorPause = 0.1;  // s; after an error of the caller's, before the next request is read
+constexpr double kWriteWait = 5;     // s; for a client to take an answer
 constexpr double kLinger = 0.5;     // s; for a client to read the last answer before the connection is closed
 constexpr double kFreshWait = 1.5;  // s; after that, for a first request on a connection that was just made
 constexpr double kAcceptOn = 0.5;   // s; of accepting after the drain has begun
 constexpr double kAcceptPause = 0.02;  // s; after an accept that failed
 constexpr std::size_t kReadSize = 4096;
-constexpr std::size_t kMostAhead =
-    kHeaderLimit + kBodyLimit;  // bytes of requests that came before their turn
-constexpr std::size_t kLongestId = 128;
+// Bytes that may wait to be parsed: a whole head, or as much of requests that came before their turn.
+constexpr std::size_t kMostAhead = kHeaderLimit + kReadSize;
+constexpr std::size_t kMostLingered =
+    std::size_t{256} * 1024;  // bytes that are passed over after the last answer
+constexpr std::size_t kKeptAhead =
+    kReadSize;                           // bytes of read-ahead that an idle connection may keep room for
+constexpr std::size_t kHeadCost = 1024;  // bytes; what a request holds besides its body, about
 constexpr int kBacklog = 1024;
 
-std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
-
-std::optional<std::uint64_t> whole(std::string_view digits) {
-  constexpr std::size_t kMostDigits = 9;
-  std::uint64_t out = 0;
-  const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), out);
-  if (problem != std::errc() || end != digits.data() + digits.size() || digits.size() > kMostDigits) {
-    return std::nullopt;
-  }
-  return out;
-}
-
 std::string decimal_seconds(double seconds) {
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.3f", seconds);
   return text.data();
 }
 
-struct Rejected {
-  http::status status;
-  const char* text;
+// A request on its way, with what it holds of the memory.
+struct Message {
+  explicit Message(Budget& budget) : share(budget) {}
+  HttpRequest request;
+  Budget::Share share;
 };
 
 }  // namespace
@@ -69,16 +64,22 @@
 class Frontend::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Frontend& owner, tcp::socket socket, bool turned_away)
-      : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_), turned_away_(turned_away) {}
+      : owner_(&owner),
+        socket_(std::move(socket)),
+        timer_(owner.io_),
+        turned_away_(turned_away),
+        share_(owner.budget_) {}
 
   void start() {
     allow(kFirstWait);
     next_request();
   }
+  // Takes it off the list of those that may be closed for others.
+  void unlist() {
+    if (list_ != nullptr) std::exchange(list_, nullptr)->erase(listed_at_);
+  }
 
-  std::list<std::shared_ptr<Session>>::iterator at;  // in the owner's lists
-  std::list<Session*>::iterator idle_at;
-  bool listed_idle = false;
+  std::list<std::shared_ptr<Session>>::iterator at;  // in the owner's list
 
   bool is_idle() const { return state_ == State::kReading && ahead_.size() == 0 && !begun_; }
   bool has_unread() {
@@ -93,6 +94,7 @@
     const bool waiting = state_ == State::kWaiting;
     state_ = State::kClosed;
     error_code ignored;
+    unlist();
     halt(timer_);
     socket_.close(ignored);
     Frontend* owner = std::exchange(owner_, nullptr);
@@ -100,10 +102,13 @@
     if (waiting) owner->dispatcher_.client_gone(id_);
     owner->ended(*this);
   }
-  void orphan() { owner_ = nullptr; }
+  void orphan() {
+    unlist();
+    owner_ = nullptr;
+  }
 
  private:
-  enum class State { kReading, kWaiting, kWriting, kLingering, kClosed };
+  enum class State { kReading, kWaiting, kWriting, kPausing, kLingering, kClosed };
 
   void allow(double seconds) {
     timer_.expires_after(Clock::span(seconds));
@@ -114,6 +119,10 @@
 
   void timed_out() {
     if (owner_ == nullptr) return;
+    if (state_ == State::kPausing) {
+      allow(kIdleWait);
+      return next_request();
+    }
     if (state_ == State::kReading && begun_)
       return reject({http::status::request_timeout, "request too slow"});
     if (state_ != State::kWaiting) close();
@@ -133,19 +142,25 @@
     continue_sent_ = false;
     parse();
     if (state_ != State::kReading) return;
-    if (!begun_) {
-      idle_at = owner_->idle_.insert(owner_->idle_.end(), this);
-      listed_idle = true;
-    }
+    if (proven_ ? !begun_ : list_ == nullptr) enlist(proven_ ? owner_->idle_ : owner_->strangers_);
+    if (!begun_) trim();
     read();
   }
 
-  void leave_idle() {
-    if (std::exchange(listed_idle, false)) owner_->idle_.erase(idle_at);
+  void enlist(std::list<Session*>& list) {
+    unlist();
+    list_ = &list;
+    listed_at_ = list.insert(list.end(), this);
+  }
+
+  // Guards against buffers that stay as large as the largest request that a connection has ever carried.
+  void trim() {
+    if (ahead_.capacity() > kKeptAhead) ahead_.shrink_to_fit();
+    share_.keep(ahead_.capacity());
   }
 
   void read() {
-    if (reading_ || state_ == State::kClosed || ahead_.size() >= kMostAhead) return;
+    if (reading_ || state_ == State::kClosed || ahead_.size() > kMostAhead - kReadSize) return;
     reading_ = true;
     socket_.async_read_some(asio::buffer(scratch_),
                             [self = shared_from_this()](error_code bad, std::size_t n) {
@@ -163,13 +178,17 @@
     }
     if (state_ == State::kLingering) {
       lingered_ += n;
-      if (lingered_ > kMostAhead) return close();
+      if (lingered_ > kMostLingered) return close();
       return read();
     }
     const asio::mutable_buffer room = ahead_.prepare(n);
     std::copy_n(scratch_.begin(), n, static_cast<char*>(room.data()));
     ahead_.commit(n);
     if (state_ == State::kReading) parse();
+    if (state_ == State::kReading && !share_.hold(ahead_.capacity() + parser_->get().body().capacity())) {
+      keep_alive_ = false;
+      return respond(refusal(owner_->limits_.busy_retry_after));
+    }
     read();
   }
 
@@ -178,8 +197,10 @@
     while (state_ == State::kReading && ahead_.size() > 0) {
       if (!begun_) {
         begun_ = true;
-        leave_idle();
-        allow(kReadWait);
+        if (proven_) {
+          unlist();
+          allow(kReadWait);
+        }
       }
       error_code bad;
       const std::size_t used = parser_->put(ahead_.data(), bad);
@@ -201,17 +222,21 @@
   bool check_framing() {
     const HttpRequest& request = parser_->get();
     // Danger: two ways to tell the length may hide a second request in the body.
-    const auto encoding = request.find(http::field::transfer_encoding);
-    if (encoding != request.end() &&
-        (request.has_content_length() || !boost::beast::iequals(encoding->value(), "chunked"))) {
+    if (is_length_ambiguous(request)) {
       reject({http::status::bad_request, "ambiguous length"});
       return false;
     }
     if (!continue_sent_ && boost::beast::iequals(request[http::field::expect], "100-continue")) {
       continue_sent_ = true;
+      // Danger: a write that is still out when the answer's begins would mix with it. Nothing else is being
+      // written now, so that so few bytes go at once or not at all.
       static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      asio::async_write(socket_, asio::buffer(kContinue),
-                        [self = shared_from_this()](error_code, std::size_t) {});
+      const ssize_t sent =
+          ::send(socket_.native_handle(), kContinue.data(), kContinue.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (sent != static_cast<ssize_t>(kContinue.size())) {
+        close();
+        return false;
+      }
     }
     return true;
   }
@@ -220,95 +245,44 @@
 
   void handle() {
     if (!check_framing()) return;
-    request_ = std::make_shared<HttpRequest>(parser_->release());
+    request_ = parser_->release();
     keep_alive_ = request_->keep_alive();
-    const std::string_view path = view(request_->target()).substr(0, request_->target().find('?'));
-    if (path == "/_health") {
+    if (path_of(*request_) == "/_health") {
       if (request_->method() != http::verb::get && request_->method() != http::verb::head) {
         return reject({http::status::method_not_allowed, "GET only"});
       }
+      proven_ = true;
       const bool well = owner_->dispatcher_.can_serve() && !owner_->draining_;
       return respond(
           plain(well ? http::status::ok : http::status::service_unavailable, well ? "ok\n" : "not ready\n"));
     }
     Request event;
-    if (const std::optional<Rejected> bad = check(path, event)) return reject(*bad, false);
+    if (const auto bad = read_request(*request_, owner_->catalog_, event)) return reject(*bad, false);
+    if (owner_->dispatcher_.holds(event.id)) {
+      return reject({http::status::bad_request, "X-Request-ID is that of an open request"}, false);
+    }
+    proven_ = true;
+    const auto message = std::make_shared<Message>(owner_->budget_);
+    share_.keep(ahead_.capacity());  // the rest goes with the request
+    if (!message->share.hold(kHeadCost + request_->body().capacity()))
+      return respond(refusal(owner_->limits_.busy_retry_after));
     if (turned_away_) return respond(refusal(owner_->limits_.busy_retry_after));
     id_ = event.id;
     drop_hop_by_hop(*request_);
     request_->erase("X-Timeout-Ms");
     request_->prepare_payload();
     request_->version(11);
+    message->request = std::move(*request_);
+    request_.reset();
     state_ = State::kWaiting;
+    unlist();
     halt(timer_);
-    owner_->dispatcher_.take(std::move(event), std::exchange(request_, nullptr),
+    owner_->dispatcher_.take(std::move(event), {message, &message->request},
                              [weak = weak_from_this()](Answer&& answer) {
                                if (const auto self = weak.lock()) self->answer(std::move(answer));
                              });
   }
 
-  std::optional<std::string_view> only(boost::beast::string_view name) const {
-    const auto [first, last] = request_->equal_range(name);
-    if (first == last || std::next(first) != last) return std::nullopt;
-    return view(first->value());
-  }
-
-  // Fills in the event, or says what is wrong with the request.
-  std::optional<Rejected> check(std::string_view path, Request& event) const {
-    const HttpRequest& request = *request_;
-    const auto bad = [](const char* text) { return Rejected{http::status::bad_request, text}; };
-    const std::vector<std::string>& names = owner_->catalog_.class_names;
-    if (path.empty() || path.front() != '/') return bad("not a path");
-    const std::string_view first = path.substr(1, path.find('/', 1) - 1);
-    const auto named = std::find(names.begin(), names.end(), first);
-    if (request.count("X-Priority-Class") == 0) {
-      if (named == names.end()) return Rejected{http::status::not_found, "no such path"};
-      return bad("X-Priority-Class is missing");
-    }
-    const auto told = only("X-Priority-Class");
-    if (!told || std::find(names.begin(), names.end(), *told) == names.end()) {
-      return bad("X-Priority-Class is unknown");
-    }
-    if (first != *told) return bad("X-Priority-Class is not that of the path");
-    event.request_class = static_cast<std::size_t>(named - names.begin());
-
-    const auto id = only("X-Request-ID");
-    if (!id || id->empty() || id->size() > kLongestId) return bad("X-Request-ID is missing or unfit");
-    event.id = *id;
-    if (owner_->dispatcher_.holds(event.id)) return bad("X-Request-ID is that of an open request");
-
-    const RequestClass& c = owner_->catalog_.classes[event.request_class];
-    event.time_left = c.give_up;
-    if (request.count("X-Timeout-Ms") > 0) {
-      const auto text = only("X-Timeout-Ms");
-      const auto ms = text ? whole(*text) : std::nullopt;
-      if (!ms || *ms == 0) return bad("X-Timeout-Ms is not a number of milliseconds");
-      event.time_left = static_cast<double>(*ms) / 1000;
-    }
-
-    const auto key = only("Idempotency-Key");
-    const bool has_key = request.count("Idempotency-Key") > 0;
-    if (c.effect == Effect::kSafe) {
-      if (request.method() != http::verb::get || !request.body().empty())
-        return bad("GET without a body only");
-    } else if (request.method() != http::verb::post) {
-      return bad("POST only");
-    }
-    if (c.effect == Effect::kKeyed ? !key || key->empty() : has_key) {
-      return bad("Idempotency-Key does not fit the class");
-    }
-
-    const std::vector<std::string>& tenants = owner_->catalog_.tenant_names;
-    const auto tenant = std::find(tenants.begin(), tenants.end(), view(request["X-Tenant-Id"]));
-    event.tenant = static_cast<std::size_t>(tenant - tenants.begin());  // past the end: untold traffic
-    event.is_repeat = request["X-Retried"] == "1";
-    constexpr double kMicroseconds = 1e-6;
-    if (const auto cost = whole(view(request["X-Cost"]))) {
-      event.work = static_cast<double>(*cost) * kMicroseconds;
-    }
-    return std::nullopt;
-  }
-
   // ---------------------------------------------------------------- answers
 
   static HttpResponse plain(http::status status, const std::string& text) {
@@ -326,8 +300,8 @@
 
   // An error of the caller's. After one that leaves the framing in doubt nothing more is read as requests.
   void reject(const Rejected& why, bool lost = true) {
-    leave_idle();
     if (lost) keep_alive_ = false;
+    pause_ = true;
     respond(plain(why.status, std::string(why.text) + "\n"));
   }
 
@@ -345,9 +319,10 @@
   }
 
   void respond(HttpResponse&& response) {
-    leave_idle();
+    if (proven_) unlist();
     state_ = State::kWriting;
     served_ = true;
+    share_.keep(ahead_.capacity() + response.body().size());
     if (owner_->draining_ || turned_away_) keep_alive_ = false;
     response_ = std::move(response);
     response_.version(11);
@@ -358,17 +333,25 @@
       if (self->owner_ == nullptr || self->state_ != State::kWriting) return;
       if (bad) return self->close();
       self->response_ = {};
-      if (self->keep_alive_) {
-        self->allow(kIdleWait);
-        return self->next_request();
+      self->share_.keep(self->ahead_.capacity());
+      if (!self->keep_alive_) return self->linger();
+      if (std::exchange(self->pause_, false)) {
+        // Guards the others against one who asks the same again at full speed: he is read from now and then.
+        self->state_ = State::kPausing;
+        return self->allow(kErrorPause);
       }
-      self->linger();
+      self->allow(kIdleWait);
+      self->next_request();
     });
   }
 
   // Danger: closing with unread bytes resets the connection, and the client may lose the answer.
   void linger() {
     state_ = State::kLingering;
+    // Danger: with a buffer that is full nothing more would be read, and the close would reset the
+    // connection.
+    ahead_.clear();
+    ahead_.shrink_to_fit();
     error_code bad;
     socket_.shutdown(tcp::socket::shutdown_send, bad);
     if (bad) return close();
@@ -383,23 +366,30 @@
   State state_ = State::kReading;
   bool reading_ = false;  // a read is out
   bool served_ = false;   // has had an answer
+  bool proven_ = false;   // has asked for something that can be served
+  bool pause_ = false;    // after this answer
   bool begun_ = false;    // a byte of the request has come
   bool keep_alive_ = true, continue_sent_ = false;
   std::array<char, kReadSize> scratch_{};
   boost::beast::flat_buffer ahead_;
+  Budget::Share share_;  // of read-ahead, and of the body that is coming or the answer that is going
+  std::list<Session*>* list_ = nullptr;
+  std::list<Session*>::iterator listed_at_;
   std::size_t lingered_ = 0;
   std::optional<http::request_parser<http::string_body>> parser_;
-  std::shared_ptr<HttpRequest> request_;
+  std::optional<HttpRequest> request_;
   std::string id_;
   HttpResponse response_;
 };
 
-Frontend::Frontend(asio::io_context& io, const Limits& limits, Catalog catalog, Dispatcher& dispatcher)
+Frontend::Frontend(asio::io_context& io, const Limits& limits, Catalog catalog, Budget& budget,
+                   Dispatcher& dispatcher)
     : io_(io),
       acceptor_(io),
       timer_(io),
       limits_(limits),
       catalog_(std::move(catalog)),
+      budget_(budget),
       dispatcher_(dispatcher),
       spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {}
 
@@ -432,7 +422,7 @@
 // Guards against running out of descriptors: a listener that stays readable with nothing accepted would spin,
 // and clients in its queue would wait in vain. The spare descriptor takes one in, to be told so.
 void Frontend::accept_failed() {
-  evict_idle();
+  evict();
   if (spare_ >= 0) {
     ::close(std::exchange(spare_, -1));
     error_code bad;
@@ -451,7 +441,7 @@
 }
 
 void Frontend::admit(tcp::socket socket) {
-  const bool full = sessions_.size() >= limits_.most && !evict_idle();
+  const bool full = sessions_.size() >= limits_.most && !evict();
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   const auto session = std::make_shared<Session>(*this, std::move(socket), full);
@@ -459,17 +449,21 @@
   session->start();
 }
 
-bool Frontend::evict_idle() {
-  for (Session* session : idle_) {
-    if (session->has_unread()) continue;
-    session->close();
-    return true;
+// Danger: by idle time alone, hundreds of connections that say nothing push out the callers that wait between
+// two requests. Who has never asked for anything goes first, the one that has been there the longest before
+// the others.
+bool Frontend::evict() {
+  for (const std::list<Session*>* list : {&strangers_, &idle_}) {
+    for (Session* session : *list) {
+      if (session->has_unread()) continue;
+      session->close();
+      return true;
+    }
   }
   return false;
 }
 
 void Frontend::ended(Session& session) {
-  if (std::exchange(session.listed_idle, false)) idle_.erase(session.idle_at);
   sessions_.erase(session.at);
   if (draining_ && drained_ && !acceptor_.is_open() && sessions_.empty()) {
     asio::post(io_, std::exchange(drained_, nullptr));
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -11,17 +11,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "budget.h"
 #include "dispatcher.h"
-#include "thymewood/balancer.h"
+#include "validation.h"
 
 namespace thymewood::node {
 
-// What a request may name, from the settings.
-struct Catalog {
-  std::vector<std::string> class_names, tenant_names;
-  std::vector<RequestClass> classes;
-};
-
 class Frontend {
  public:
   struct Limits {
@@ -30,7 +25,8 @@
     double busy_retry_after = 0;
   };
 
-  Frontend(boost::asio::io_context& io, const Limits& limits, Catalog catalog, Dispatcher& dispatcher);
+  Frontend(boost::asio::io_context& io, const Limits& limits, Catalog catalog, Budget& budget,
+           Dispatcher& dispatcher);
   ~Frontend();
   Frontend(const Frontend&) = delete;
   Frontend& operator=(const Frontend&) = delete;
@@ -50,7 +46,7 @@
   void accept();
   void accept_failed();
   void admit(boost::asio::ip::tcp::socket socket);
-  bool evict_idle();
+  bool evict();
   void ended(Session& session);
   void stop_accepting();
 
@@ -59,10 +55,13 @@
   boost::asio::steady_timer timer_;  // a pause after a failed accept; then for the drain
   Limits limits_;
   Catalog catalog_;
+  Budget& budget_;
   Dispatcher& dispatcher_;
   std::list<std::shared_ptr<Session>> sessions_;
-  std::list<Session*> idle_;  // between requests; the one that has waited the longest first
-  int spare_ = -1;            // a descriptor in reserve
+  // Those that may be closed for others, the one that has waited the longest first: callers that never asked
+  // for anything that can be served, and those between two requests.
+  std::list<Session*> strangers_, idle_;
+  int spare_ = -1;  // a descriptor in reserve
   bool accepting_ = false, draining_ = false;
   std::function<void()> drained_;
 };
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -8,7 +8,9 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <utility>
 
+#include "budget.h"
 #include "config.h"
 #include "discovery.h"
 #include "dispatcher.h"
@@ -21,6 +23,9 @@
 namespace node = thymewood::node;
 
 constexpr int kBadConfiguration = 2;
+// Messages may fill this part of the memory: the rest is for the program, what a connection takes by itself
+// and what the allocator does not give back.
+constexpr std::size_t kMessagePart = 3;
 
 // How the descriptors are shared out. Danger: a request that was accepted and has no descriptor left for its
 // attempt can only be refused.
@@ -39,6 +44,19 @@
   std::size_t clients = 0, overflow = 0, upstream = 0;
 };
 
+// Guards against an exception that gets past a handler: it costs what that one was about, not the node. Each
+// request has a timer of its own that answers it in time.
+void run_to_end(asio::io_context& io) {
+  for (bool told = false;;) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& problem) {
+      if (!std::exchange(told, true)) std::clog << "a handler failed: " << problem.what() << '\n';
+    }
+  }
+}
+
 // At each SIGHUP: the file is read again, and discovery followed to where it says. All else stays as it is.
 void reload_on(asio::signal_set& hangups, const char* path, const node::Clock& clock,
                node::Discovery& discovery) {
@@ -58,6 +76,7 @@
 int run(const char* path) {
   // Danger: a signal that comes before these stand would end the process. What comes between here and the
   // first wait is kept for it.
+  node::Budget budget;  // outlives what is left in the event loop at the end
   asio::io_context io(1);
   asio::signal_set hangups(io, SIGHUP), signals(io, SIGTERM, SIGINT);
   const node::Clock clock;
@@ -70,7 +89,8 @@
   }
   const Shares shares(config.sockets);
   const thymewood::Settings& settings = config.settings;
-  node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream});
+  budget.limit(config.memory / kMessagePart);
+  node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream}, budget);
   node::Dispatcher* to = nullptr;
   node::Discovery discovery(
       io, config.discovery, config.directory, clock,
@@ -81,7 +101,7 @@
                                 [&discovery] { discovery.watch(); });
     to = &dispatcher;
     node::Frontend frontend(io, {shares.clients, shares.overflow, settings.max_retry_after / 2},
-                            {config.class_names, config.tenant_names, settings.classes}, dispatcher);
+                            {config.class_names, config.tenant_names, settings.classes}, budget, dispatcher);
     try {
       frontend.listen(config.listen);
     } catch (const boost::system::system_error& problem) {
@@ -95,7 +115,7 @@
     signals.async_wait([&](boost::system::error_code bad, int) {
       if (!bad) frontend.drain([&io] { io.stop(); });
     });
-    io.run();
+    run_to_end(io);
   } catch (const std::invalid_argument& problem) {
     std::cerr << "thymewood: " << problem.what() << '\n';
     return kBadConfiguration;
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -6,9 +6,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
 #include <cmath>
 #include <deque>
 #include <optional>
+#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -25,6 +27,14 @@
 // closes it ends as a reset, which an unsafe class can't repeat.
 constexpr double kIdlePart = 0.85;
 constexpr int kMostInterim = 8;  // 1xx answers ahead of an answer
+// s. A connection rests this long after an answer before it carries the next request. Danger: what some
+// servers send behind an answer, such as a second copy of it, may come a moment later and would pass for the
+// next answer.
+constexpr double kRest = 0.004;
+// Bytes of an answer that may wait to be parsed: a whole head and some more. Danger: a parser asks for more
+// of a line that does not end, as in the extension of a chunk, for as long as there is room.
+constexpr std::size_t kMostUnparsed = kHeaderLimit + 16 * 1024;
+constexpr std::size_t kKeptBuffer = 4 * 1024;  // bytes of buffer that an idle connection may keep
 
 // Whether the server has closed it or sent what nobody asked for. The event loop may not have come to it yet.
 bool is_readable(tcp::socket& socket) {
@@ -53,11 +63,12 @@
   Connection(asio::io_context& io, std::shared_ptr<Pool> of) : socket(io), timer(io), pool(std::move(of)) {}
   tcp::socket socket;
   asio::steady_timer timer;  // for the dial, then for idling
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMostUnparsed};
   std::shared_ptr<Pool> pool;
   tcp::endpoint where;
-  std::uint64_t process = 0;    // which process of the server it leads to
-  std::uint64_t idle_turn = 0;  // tells a wait of this idling from one of an earlier one
+  std::uint64_t process = 0;         // which process of the server it leads to
+  std::uint64_t idle_turn = 0;       // tells a wait of this idling from one of an earlier one
+  Clock::Steady::time_point rested;  // when it may carry the next request
   bool idle = false, dialling = true;
 };
 
@@ -67,29 +78,39 @@
   std::uint64_t process = 1;  // counts the starts that were told
   bool usable = false;
   std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
-  std::deque<std::shared_ptr<Attempt>> waiting;   // for a connection; each has a dial under way
+  // For a connection; each has a dial under way, or one that rests is about to be free.
+  std::deque<std::shared_ptr<Attempt>> waiting;
   std::size_t dialling = 0;
+  std::size_t rests = 0;  // waits for a connection to have rested
 };
 
 class Upstream::Attempt {
  public:
-  Attempt(asio::io_context& io, Report to) : timer(io), report(std::move(to)) {}
+  Attempt(asio::io_context& io, Budget& budget, Report to)
+      : timer(io), report(std::move(to)), share(budget) {}
   asio::steady_timer timer;
   Report report;
-  HttpRequest request;
+  std::shared_ptr<const HttpRequest> request;
+  Clock::Steady::time_point until;
+  std::string wire;  // the request as it is sent; empty again once it is out
+  std::size_t written = 0;
+  bool sent = false;  // its last byte is written: from here on it may have run
   std::optional<http::response_parser<http::string_body>> parser;
   std::shared_ptr<Connection> connection;
   std::shared_ptr<Pool> pool;
+  Budget::Share share;  // of the request as it is sent, then of the answer as it comes
   int interim = 0;
   bool ended = false;
 
   void begin(Upstream& owner, const std::shared_ptr<Attempt>& self, std::shared_ptr<Connection> on);
+  void write(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void read(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void read_more(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void answered(Upstream& owner, const std::shared_ptr<Attempt>& self);
 };
 
-Upstream::Upstream(asio::io_context& io, const Limits& limits) : io_(io), limits_(limits) {}
+Upstream::Upstream(asio::io_context& io, const Limits& limits, Budget& budget)
+    : io_(io), limits_(limits), budget_(budget) {}
 
 Upstream::~Upstream() {
   *alive_ = false;
@@ -113,51 +134,57 @@
 void Upstream::retire(const std::string& server) {
   const auto at = pools_.find(server);
   if (at == pools_.end()) return;
-  at->second->usable = false;
-  drop_idle(*at->second);
+  const std::shared_ptr<Pool> pool = at->second;
+  pool->usable = false;
+  drop_idle(*pool);
   pools_.erase(at);  // what is still out on its connections holds on to it; names are ever new
+  // Danger: another server may stand at its address by now, and take in what was meant for this one. The
+  // module hears of the end after it has heard that the server is gone.
+  for (const std::shared_ptr<Attempt>& attempt : pool->waiting) end_later(attempt, Outcome::kDialFailed);
+  pool->waiting.clear();
 }
 
 Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const HttpRequest>& request,
                                  double timeout, Report report) {
-  const auto attempt = std::make_shared<Attempt>(io_, std::move(report));
+  const auto attempt = std::make_shared<Attempt>(io_, budget_, std::move(report));
   const auto at = pools_.find(server);
   if (at == pools_.end() || !(timeout > 0)) {
-    asio::post(io_, [this, alive = alive_, attempt] {
-      if (*alive) finish(attempt, Outcome::kNotSent, false);
-    });
+    end_later(attempt, Outcome::kNotSent);
     return attempt;
   }
   attempt->pool = at->second;
-  attempt->request = *request;
-  const double ms = std::max(1.0, std::floor(timeout * 1000));
-  attempt->request.set("X-Timeout-Ms", std::to_string(static_cast<long long>(ms)));
-  attempt->timer.expires_after(Clock::span(timeout));
+  attempt->request = request;
+  attempt->until = Clock::Steady::now() + Clock::span(timeout);
+  attempt->timer.expires_at(attempt->until);
   attempt->timer.async_wait([this, alive = alive_, attempt](error_code cancelled) {
     if (cancelled || !*alive || attempt->ended) return;
-    // Nothing of it was written while it waited for a connection. Once the writing has begun, its last byte
-    // may be out before the loop hears of it: it may have run.
-    finish(attempt, attempt->connection ? Outcome::kTimedOut : Outcome::kDialFailed, false);
+    finish(attempt, attempt->sent ? Outcome::kTimedOut : Outcome::kDialFailed, false);
   });
   if (std::shared_ptr<Connection> connection = take_idle(*attempt->pool)) {
     attempt->begin(*this, attempt, std::move(connection));
+  } else if (attempt->pool->idle.size() > attempt->pool->waiting.size()) {
+    // One that rests will be free sooner than a new one is up.
+    attempt->pool->waiting.push_back(attempt);
+    serve_rested(attempt->pool);
   } else if (make_room()) {
     attempt->pool->waiting.push_back(attempt);
     dial(attempt->pool);
   } else {
-    asio::post(io_, [this, alive = alive_, attempt] {
-      if (*alive) finish(attempt, Outcome::kNotSent, false);
-    });
+    end_later(attempt, Outcome::kNotSent);
   }
   return attempt;
 }
 
+void Upstream::end_later(const std::shared_ptr<Attempt>& attempt, Outcome outcome) {
+  asio::post(io_, [this, alive = alive_, attempt, outcome] {
+    if (*alive) finish(attempt, outcome, false);
+  });
+}
+
 void Upstream::cancel(const Handle& handle) {
   const std::shared_ptr<Attempt> attempt = handle.lock();
   if (!attempt || attempt->ended) return;
-  asio::post(io_, [this, alive = alive_, attempt] {
-    if (*alive) finish(attempt, Outcome::kCancelled, false);
-  });
+  end_later(attempt, Outcome::kCancelled);
 }
 
 // ---------------------------------------------------------------- connections
@@ -186,12 +213,12 @@
     // A start that was told meanwhile is the one that answered, unless the server has moved.
     if (connection->where == pool->where) connection->process = pool->process;
     connection->socket.set_option(tcp::no_delay(true), ignored);
-    return release(connection);
+    return release(connection, true);
   }
-  forget(*pool, *connection);
-  connection->socket.close(ignored);
+  drop(connection);
   // Each that waits has a dial; one whose place was taken over by a freed connection leaves a spare.
-  if (pool->waiting.size() > pool->dialling) finish(pool->waiting.front(), Outcome::kDialFailed, false);
+  if (pool->rests == 0 && pool->waiting.size() > pool->dialling)
+    finish(pool->waiting.front(), Outcome::kDialFailed, false);
 }
 
 void Upstream::forget(Pool& pool, const Connection& connection) {
@@ -203,54 +230,93 @@
 }
 
 std::shared_ptr<Upstream::Connection> Upstream::take_idle(Pool& pool) {
-  while (!pool.idle.empty()) {
-    std::shared_ptr<Connection> connection = std::move(pool.idle.back());
-    pool.idle.pop_back();
-    connection->idle = false;
-    connection->idle_turn += 1;
-    halt(connection->timer);
-    error_code ignored;
-    connection->socket.cancel(ignored);  // the wait for the server's close
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  std::size_t at = pool.idle.size();
+  while (at-- > 0) {
+    std::shared_ptr<Connection> connection = pool.idle[at];
+    if (connection->rested > now) continue;
     // Danger: neither the timer nor the close may have been seen yet, on a core that others share.
-    const auto age = std::chrono::duration<double>(Clock::Steady::now() - connection->timer.expiry()).count();
-    if (age < 0 && !is_readable(connection->socket)) return connection;
-    connection->socket.close(ignored);
-    connections_ -= 1;
+    if (connection->timer.expiry() > now && !is_readable(connection->socket)) {
+      pool.idle.erase(pool.idle.begin() + static_cast<std::ptrdiff_t>(at));
+      connection->idle = false;
+      connection->idle_turn += 1;
+      halt(connection->timer);
+      error_code ignored;
+      connection->socket.cancel(ignored);  // the wait for the server's close
+      return connection;
+    }
+    drop(connection);
   }
   return nullptr;
 }
 
-// A connection that is free serves who waits for one, even while that one's own dial is under way.
-void Upstream::release(const std::shared_ptr<Connection>& connection) {
-  Pool& pool = *connection->pool;
-  const bool current = connection->process == pool.process && connection->buffer.size() == 0;
-  if (current && !pool.waiting.empty()) {
-    const std::shared_ptr<Attempt> next = pool.waiting.front();
-    pool.waiting.pop_front();
-    return next->begin(*this, next, connection);
-  }
+// Closes a connection that carries nothing.
+void Upstream::drop(const std::shared_ptr<Connection>& connection) {
+  forget(*connection->pool, *connection);
+  connection->idle = false;
+  halt(connection->timer);
   error_code ignored;
-  if (!current || !pool.usable) {
-    connections_ -= 1;
-    connection->socket.close(ignored);
-    // A dial to where the server no longer listens has served nobody; who waited for it has no other.
-    if (pool.waiting.size() > pool.dialling) finish(pool.waiting.front(), Outcome::kDialFailed, false);
+  connection->socket.close(ignored);
+}
+
+// A connection that is free serves who waits for one, even while that one's own dial is under way; but one
+// that has just carried an answer rests before.
+void Upstream::release(const std::shared_ptr<Connection>& connection, bool fresh) {
+  const std::shared_ptr<Pool> pool = connection->pool;
+  // Danger: bytes that nobody asked for would be taken for the answer to the next request.
+  if (connection->process != pool->process || !pool->usable || connection->buffer.size() > 0 ||
+      is_readable(connection->socket)) {
+    drop(connection);
+    // Each that waits has a dial. This one may have been the last one's, to where the server no longer
+    // listens or to one that speaks unasked.
+    if (pool->rests == 0 && pool->waiting.size() > pool->dialling)
+      finish(pool->waiting.front(), Outcome::kDialFailed, false);
     return;
   }
+  if (connection->buffer.capacity() > kKeptBuffer) connection->buffer.shrink_to_fit();
   connection->idle = true;
-  pool.idle.push_back(connection);
+  connection->rested = Clock::Steady::now() + (fresh ? Clock::Steady::duration{} : Clock::span(kRest));
+  pool->idle.push_back(connection);
   const std::uint64_t turn = ++connection->idle_turn;
-  const auto drop = [this, alive = alive_, connection, turn](error_code cancelled) {
-    if (cancelled || !*alive || !connection->idle || connection->idle_turn != turn) return;
-    forget(*connection->pool, *connection);
-    connection->idle = false;
-    halt(connection->timer);
-    error_code closing;
-    connection->socket.close(closing);
+  const auto end = [this, alive = alive_, connection, turn](error_code cancelled) {
+    if (!cancelled && *alive && connection->idle && connection->idle_turn == turn) drop(connection);
   };
   connection->timer.expires_after(Clock::span(limits_.idle_close * kIdlePart));
-  connection->timer.async_wait(drop);
-  connection->socket.async_wait(tcp::socket::wait_read, drop);
+  connection->timer.async_wait(end);
+  connection->socket.async_wait(tcp::socket::wait_read, end);
+  if (pool->waiting.empty()) return;
+  if (fresh) return serve_waiting(*pool);
+  serve_rested(pool);
+}
+
+// Once what is idle has rested. It may turn out to be of no use, so that a dial is needed after all.
+void Upstream::serve_rested(const std::shared_ptr<Pool>& pool) {
+  pool->rests += 1;
+  const auto rest = std::make_shared<asio::steady_timer>(io_, Clock::span(kRest));
+  rest->async_wait([this, alive = alive_, pool, rest](error_code) {
+    if (!*alive) return;
+    pool->rests -= 1;
+    serve_waiting(*pool);
+    if (pool->rests > 0) return;
+    for (std::size_t n = pool->waiting.size(); n > pool->dialling && !pool->waiting.empty();) {
+      if (pool->usable && make_room()) {
+        dial(pool);
+      } else {
+        finish(pool->waiting.front(), Outcome::kDialFailed, false);
+        --n;
+      }
+    }
+  });
+}
+
+void Upstream::serve_waiting(Pool& pool) {
+  while (!pool.waiting.empty()) {
+    std::shared_ptr<Connection> connection = take_idle(pool);
+    if (!connection) return;
+    const std::shared_ptr<Attempt> next = pool.waiting.front();
+    pool.waiting.pop_front();
+    next->begin(*this, next, std::move(connection));
+  }
 }
 
 void Upstream::drop_idle(Pool& pool) {
@@ -275,12 +341,7 @@
     }
   }
   if (oldest == nullptr) return false;
-  const std::shared_ptr<Connection> connection = oldest->idle.front();
-  forget(*oldest, *connection);
-  connection->idle = false;
-  halt(connection->timer);
-  error_code ignored;
-  connection->socket.close(ignored);
+  drop(std::shared_ptr<Connection>(oldest->idle.front()));
   return true;
 }
 
@@ -289,17 +350,45 @@
 void Upstream::Attempt::begin(Upstream& owner, const std::shared_ptr<Attempt>& self,
                               std::shared_ptr<Connection> on) {
   connection = std::move(on);
-  // Danger: an attempt that ends lets go of its connection while the socket's operation is still to be called
-  // off, and that one works on the connection's buffer: each operation holds on to it.
-  request.set(http::field::host,
-              pool->where.address().to_string() + ":" + std::to_string(pool->where.port()));
-  http::async_write(connection->socket, request,
-                    [&owner, alive = owner.alive_, self, held = connection](error_code problem, std::size_t) {
-                      if (!*alive || self->ended) return;
-                      // The last byte was not written: it can't have run.
-                      if (problem) return owner.finish(self, Outcome::kDialFailed, false);
-                      self->read(owner, self);
-                    });
+  HttpRequest head;
+  head.base() = request->base();
+  head.set(http::field::host, pool->where.address().to_string() + ":" + std::to_string(pool->where.port()));
+  // What is left now: a part of the time may have gone by in the wait for the connection.
+  const double left = std::chrono::duration<double>(until - Clock::Steady::now()).count();
+  head.set("X-Timeout-Ms", std::to_string(static_cast<long long>(std::max(1.0, std::floor(left * 1000)))));
+  std::ostringstream text;
+  text << head.base();
+  wire = std::move(text).str() + request->body();
+  request.reset();
+  if (!share.hold(wire.size())) return owner.end_later(self, Outcome::kNotSent);
+  write(owner, self);
+}
+
+// Guards against an answer to the last request that comes while this one is being written: up to its last
+// byte nothing that arrives can be meant for it, and a connection that is closed before that byte has run
+// nothing.
+void Upstream::Attempt::write(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  while (written < wire.size()) {
+    if (is_readable(connection->socket)) return owner.end_later(self, Outcome::kDialFailed);
+    const ssize_t n = ::send(connection->socket.native_handle(), wire.data() + written, wire.size() - written,
+                             MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n > 0) {
+      written += static_cast<std::size_t>(n);
+    } else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      return connection->socket.async_wait(tcp::socket::wait_write, [&owner, alive = owner.alive_, self,
+                                                                     held = connection](error_code problem) {
+        if (!*alive || self->ended) return;
+        if (problem) return owner.finish(self, Outcome::kDialFailed, false);
+        self->write(owner, self);
+      });
+    } else if (n == 0 || errno != EINTR) {
+      return owner.end_later(self, Outcome::kDialFailed);  // the last byte was not written: it can't have run
+    }
+  }
+  sent = true;
+  wire = {};
+  share.keep(0);
+  read(owner, self);
 }
 
 void Upstream::Attempt::read(Upstream& owner, const std::shared_ptr<Attempt>& self) {
@@ -313,6 +402,8 @@
   read_more(owner, self);
 }
 
+// Danger: an attempt that ends lets go of its connection while the socket's operation is still to be called
+// off, and that one works on the connection's buffer: each operation holds on to it.
 void Upstream::Attempt::read_more(Upstream& owner, const std::shared_ptr<Attempt>& self) {
   http::async_read_some(
       connection->socket, connection->buffer, *parser,
@@ -327,7 +418,8 @@
           // have run too.
           return owner.finish(self, broken ? Outcome::kReset : Outcome::kUnknown, false);
         }
-        if (self->parser->get().body().size() > kBodyLimit) {
+        if (self->parser->get().body().size() > kBodyLimit ||
+            !self->share.hold(held->buffer.capacity() + self->parser->get().body().capacity())) {
           return owner.finish(self, Outcome::kUnknown, false);
         }
         if (self->parser->is_done()) return self->answered(owner, self);
@@ -361,11 +453,9 @@
   }
   if (const std::shared_ptr<Connection> connection = std::exchange(attempt->connection, nullptr)) {
     if (keep) {
-      release(connection);
+      release(connection, false);
     } else {
-      connections_ -= 1;
-      error_code ignored;
-      connection->socket.close(ignored);
+      drop(connection);
     }
   }
   HttpResponse answer;
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "budget.h"
 #include "clock.h"
 #include "message.h"
 #include "thymewood/balancer.h"
@@ -28,7 +29,7 @@
   class Attempt;
   using Handle = std::weak_ptr<Attempt>;
 
-  Upstream(boost::asio::io_context& io, const Limits& limits);
+  Upstream(boost::asio::io_context& io, const Limits& limits, Budget& budget);
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -55,14 +56,19 @@
   void dial(const std::shared_ptr<Pool>& pool);
   void dialled(const std::shared_ptr<Pool>& pool, const std::shared_ptr<Connection>& connection, bool up);
   std::shared_ptr<Connection> take_idle(Pool& pool);
-  void release(const std::shared_ptr<Connection>& connection);
+  void release(const std::shared_ptr<Connection>& connection, bool fresh);
+  void serve_waiting(Pool& pool);
+  void serve_rested(const std::shared_ptr<Pool>& pool);
+  void drop(const std::shared_ptr<Connection>& connection);
   void forget(Pool& pool, const Connection& connection);
   void drop_idle(Pool& pool);
   bool make_room();
+  void end_later(const std::shared_ptr<Attempt>& attempt, Outcome outcome);
   void finish(const std::shared_ptr<Attempt>& attempt, Outcome outcome, bool keep);
 
   boost::asio::io_context& io_;
   Limits limits_;
+  Budget& budget_;
   std::map<std::string, std::shared_ptr<Pool>> pools_;
   std::size_t connections_ = 0;  // dialling ones too
   // Outlived by no handler that looks at it: what is left in the event loop at the end sees that we are gone.
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -21,6 +21,7 @@
 #include <deque>
 #include <fstream>
 #include <functional>
+#include <iomanip>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -72,6 +73,52 @@
   return out;
 }
 
+// A server whose queue of connections is full: a dial to it stays out until accept() makes room.
+class FullListener {
+ public:
+  FullListener() : listen_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in where = loopback(0);
+    EXPECT_EQ(::bind(listen_.get(), reinterpret_cast<sockaddr*>(&where), sizeof where), 0);
+    EXPECT_EQ(::listen(listen_.get(), 0), 0);
+    socklen_t size = sizeof where;
+    ::getsockname(listen_.get(), reinterpret_cast<sockaddr*>(&where), &size);
+    port_ = ntohs(where.sin_port);
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  // Takes the one place in the queue.
+  void fill() {
+    filler_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const sockaddr_in where = loopback(port_);
+    ASSERT_EQ(::connect(filler_.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where), 0);
+  }
+  // The next connection that is not the filler's.
+  Fd accept() {
+    for (;;) {
+      pollfd wait{listen_.get(), POLLIN, 0};
+      if (::poll(&wait, 1, static_cast<int>(std::chrono::milliseconds(kPatience).count())) <= 0) return Fd();
+      sockaddr_in from{}, own{};
+      socklen_t size = sizeof from;
+      Fd fd(::accept4(listen_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_CLOEXEC));
+      if (filler_.get() < 0) return fd;
+      ::getsockname(filler_.get(), reinterpret_cast<sockaddr*>(&own), &size);
+      if (from.sin_port != own.sin_port) return fd;
+    }
+  }
+  // How many dials to it are under way, as the system tells.
+  int dials() const {
+    std::ifstream table("/proc/net/tcp");
+    std::ostringstream to;
+    to << ':' << std::uppercase << std::hex << std::setw(4) << std::setfill('0') << port_ << " 02 ";
+    int out = 0;
+    for (std::string line; std::getline(table, line);) out += line.find(to.str()) != std::string::npos;
+    return out;
+  }
+
+ private:
+  Fd listen_, filler_;
+  int port_ = 0;
+};
+
 // One message's bytes at a time, either way.
 class Wire {
  public:
@@ -445,13 +492,14 @@
 
 struct ConfigText {
   std::string discovery = "127.0.0.1:9", known = "", listen = "127.0.0.1:0", mode = "subscribe";
-  int sockets = 256;
+  int sockets = 256, memory_mb = 192;
   std::string bounds = R"("cancel":true,"maxAttempts":3,"maxRetryAfter":2.0,"retryAfter":true,)"
                        R"("secondCopies":true,"dialTimeout":0.5,"idleClose":60.0)";
   std::string text() const {
     return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery +
-           R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
-           std::to_string(sockets) + "}," + (known.empty() ? "" : R"("known":)" + known + ",") +
+           R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memory_mb) +
+           R"(,"sockets":)" + std::to_string(sockets) + "}," +
+           (known.empty() ? "" : R"("known":)" + known + ",") +
            R"("settings":{"azs":["a"],"peersTotal":1,"position":0,"stage":0,"zone":0,"granularity":0.005,)" +
            R"("registryMode":")" + mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" +
            R"({"name":"look","aim":5.0,"giveUp":15.0,"effect":"safe","lateWorth":0.5},)" +
