Forget servers that are gone once no open request names them

Cause, by reading: servers_ and by_address_ kept every server ever listed, and each change of the list walked them all. The test plays 1,000 replacements; before, 1,000 servers were remembered, now those listed. Attempts of open requests name their servers, ended ones too (their cell binds a repeat), so places are counted and used again.

--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -205,6 +205,8 @@
 
   // For metrics; changes nothing. A tenant out of range is answered as untold traffic.
   TenantView tenant(double now, std::size_t tenant) const;
+  // How many servers are remembered: those listed, and those that left while requests named them.
+  std::size_t servers() const;
 
  private:
   class Impl;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -105,8 +105,9 @@
 struct ServerNode {
   Server told;
   std::uint64_t order = 0, listed = 0;  // listed: in which membership update it was told last
-  int in_flight = 0;
-  double failing = 0, failing_at = 0;  // failure average and when it was last brought up to date
+  int in_flight = 0, named = 0;         // named: by attempts of open requests, ended ones too
+  bool forgotten = false;               // its place is free for another
+  double failing = 0, failing_at = 0;   // failure average and when it was last brought up to date
   int failures_in_row = 0;
   double cold_tokens = 0, cold_at = 0;
   FadingRate answered{kAnsweredMemory};
@@ -157,6 +158,8 @@
     std::visit([this](const auto& e) { on(e); }, event);
   }
 
+  std::size_t servers() const { return servers_.size() - unused_.size(); }
+
   TenantView view(double now, std::size_t tenant) const {
     const TenantState& t = tenants_[std::min(tenant, tenants_.size() - 1)];
     const SlidingWindow::Sums sums = t.window.sums(now);
@@ -215,12 +218,20 @@
 
   void learn(const Server& told) {
     const auto [it, unknown] = by_address_.try_emplace(told.address, servers_.size());
-    if (unknown) servers_.emplace_back().order = hash_of(told.address);
+    if (unknown && !unused_.empty()) {
+      it->second = unused_.back();
+      unused_.pop_back();
+      servers_[it->second] = {};
+    } else if (unknown) {
+      servers_.emplace_back();
+    }
+    if (unknown) servers_[it->second].order = hash_of(told.address);
     ServerNode& s = servers_[it->second];
     if (unknown || told.started != s.told.started || s.told.state == ServerState::kGone) {
       ServerNode fresh;  // another process: what the last one did says nothing
       fresh.order = s.order;
       fresh.in_flight = s.in_flight;
+      fresh.named = s.named;
       fresh.sent_sum = s.sent_sum;
       fresh.met_at = fresh.cold_at = now_;
       fresh.cold_tokens = random_.unit();  // copies hear of a start together and must not send together
@@ -231,6 +242,17 @@
     if (!(s.told.weight > 0)) s.told.weight = 1;
   }
 
+  // Guards against a list that holds every server there ever was, where new ones come all day. Danger:
+  // attempts of open requests name their servers, also those that have ended: their cell binds where the next
+  // may go.
+  void forget_if_gone(std::size_t at) {
+    ServerNode& s = servers_[at];
+    if (s.told.state != ServerState::kGone || s.named > 0 || s.forgotten) return;
+    by_address_.erase(s.told.address);
+    s.forgotten = true;
+    unused_.push_back(at);
+  }
+
   std::vector<std::size_t> own_part(const std::vector<std::size_t>& from) const {
     const std::size_t index = static_cast<std::size_t>(settings_.copy_index);
     const std::size_t count = static_cast<std::size_t>(settings_.copy_count);
@@ -438,6 +460,7 @@
     s.in_flight += 1;
     s.sent_sum += now_;
     in_flight_ += 1;
+    s.named += 1;
     p.attempts.push_back({*server, now_});
     out_->push_back(Send{id, s.told.address, limit});
     return true;
@@ -458,6 +481,15 @@
     denied_ = unplaced_ = 0;
   }
 
+  void close(std::unordered_map<std::string, Pending>::iterator it) {
+    const Pending ended = std::move(it->second);
+    pending_.erase(it);
+    for (const Attempt& a : ended.attempts) {
+      servers_[a.server].named -= 1;
+      forget_if_gone(a.server);
+    }
+  }
+
   void cancel_open(const std::string& id, const Pending& p) {
     if (!settings_.can_cancel || p.streaming) return;
     for (std::size_t i = 0; i < p.attempts.size(); ++i) {
@@ -514,7 +546,7 @@
       cancel_open(r.id, p);
     }
     if (!p.finished && !p.any_open() && !(worth_another(p) && send(r.id, p))) answer_unserved(r.id, p);
-    if (p.finished && !p.any_open()) pending_.erase(it);
+    if (p.finished && !p.any_open()) close(it);
   }
 
   void learn_from(const Pending& p, ServerNode& s, const AttemptResult& r) {
@@ -554,7 +586,7 @@
     if (it == pending_.end()) return;
     if (!it->second.finished) cancel_open(r.id, it->second);
     it->second.finished = true;
-    if (!it->second.any_open()) pending_.erase(it);
+    if (!it->second.any_open()) close(it);
   }
 
   void on(const MembershipUpdate& update) {
@@ -574,6 +606,7 @@
         if (s.listed != listing_) s.told.state = ServerState::kGone;
       }
     }
+    for (std::size_t i = 0; i < servers_.size(); ++i) forget_if_gone(i);
     rebuild_subset();
   }
 
@@ -594,6 +627,7 @@
   std::vector<Estimate> latency_;                 // by class
   std::vector<ServerNode> servers_;
   std::unordered_map<std::string, std::size_t> by_address_;
+  std::vector<std::size_t> unused_;  // places of servers that were forgotten
   std::vector<std::size_t> ring_, subset_, choice_;
   double ready_weight_ = 0, sharers_ = 1;  // sharers: copies that use the same server
   FadingRate admitted_{kAdmittedMemory}, answered_{kAnsweredMemory};
@@ -616,6 +650,8 @@
   impl_->handle(now, event, actions);
 }
 
+std::size_t Balancer::servers() const { return impl_->servers(); }
+
 TenantView Balancer::tenant(double now, std::size_t tenant) const { return impl_->view(now, tenant); }
 
 }  // namespace thymewood
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -425,5 +425,33 @@
   EXPECT_GE(copy.balancer.tenant(0, 1234).rate_limit, 0);
 }
 
+// Guards against a list that grows with every server there ever was: on a long day all of them are replaced
+// again and again, and each change of the list walks it.
+TEST(LongDay, ServersThatAreGoneAreForgottenOnceNoRequestNamesThem) {
+  Copy copy(basic_settings());
+  constexpr int kListed = 5, kDay = 1000;
+  copy.at(0, members(kListed));
+  const auto sent = all<Send>(copy.request("held"));
+  ASSERT_EQ(sent.size(), 1U);
+  for (int i = kListed; i < kDay; ++i) {
+    MembershipUpdate change;
+    change.form = i % 7 == 0 ? MembershipUpdate::Form::kFull : MembershipUpdate::Form::kChanges;
+    if (change.form == MembershipUpdate::Form::kFull) {
+      for (int at = i - kListed + 1; at < i; ++at) change.servers.push_back(server(at));
+    } else {
+      change.servers.push_back(server(i - kListed));
+      change.servers.back().state = ServerState::kGone;
+    }
+    change.servers.push_back(server(i));
+    copy.at(i, change);
+    const std::string id = "r" + std::to_string(i);
+    ASSERT_EQ(all<Send>(copy.request(id)).size(), 1U);
+    copy.end(id, Outcome::kDelivered);
+  }
+  EXPECT_EQ(copy.balancer.servers(), kListed + 1U) << "those listed, and the one that the open request names";
+  copy.end("held", Outcome::kDelivered);
+  EXPECT_EQ(copy.balancer.servers(), static_cast<std::size_t>(kListed));
+}
+
 }  // namespace
 }  // namespace thymewood
