Cut a tenant's limit for crowds only, and not below its share

Cause: learn_from() counted every error, spoilt answer and reset as a sign of a crowd, with fast errors and spoilt answers at any load, and limits fell to a quarter of the share. The design names refusals, time-outs and failed connections. The shares sum to about half of what the tier can do.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -21,7 +21,7 @@
 constexpr double kFactorCache = 0.1;     // s; as in the source
 constexpr double kNoise = 1.5;           // standard deviations of a count that a bound leaves to chance
 constexpr double kStartShare = 1.5;      // x a copy's part of the allowance; a generous start of a limit
-constexpr double kFloor = 0.25;   // x the same; floor of a limit, or nothing would be left to learn from
+constexpr double kFloor = 1;  // x the same; floor of a limit: the tier can do more than all shares together
 constexpr double kDeepFloor = 6;  // x the same; a limit's floor past tier 0: a refusal wastes the work above
 constexpr double kStep = 0.4, kMostStep = 0.1;  // calls/s, and of the limit: what a bad end takes off at most
 constexpr double kBadShare = 0.25;              // bad ends for a good one at which a limit stays where it is
@@ -573,7 +573,10 @@
       find_knee(s);
     }
     // As the design has it, failures cut and answers in time raise a limit; one sick server cuts no tenant.
-    if (answered ? part_of_aim < kInTime : was_well) review(tenants_[p.tenant], !answered);
+    // Danger: an error or a spoilt answer tells of a server, not of a crowd, and comes at any load.
+    const bool crowd = r.outcome == Outcome::kRejected || r.outcome == Outcome::kTimedOut ||
+                       r.outcome == Outcome::kDialFailed;
+    if (answered ? part_of_aim < kInTime : was_well && crowd) review(tenants_[p.tenant], !answered);
   }
 
   void on(const AnswerStarted& r) {
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -70,6 +70,24 @@
   EXPECT_GT(view.declined, 0);
 }
 
+// Guards against tenants cut down to a part of their share by servers that fail at any load.
+TEST(Admission, ErrorsAndSpoiltAnswersCutNoLimit) {
+  for (const Outcome outcome : {Outcome::kError, Outcome::kUnknown, Outcome::kReset}) {
+    Copy copy(one_tenant(10));
+    copy.at(0, members(4));
+    const double limit = copy.balancer.tenant(0, 0).rate_limit;
+    offer(copy, 0, 4, 5, "a", outcome);
+    EXPECT_GE(copy.balancer.tenant(copy.now, 0).rate_limit, limit);
+  }
+}
+
+TEST(Admission, ALimitNeverFallsBelowTheAllowance) {
+  Copy copy(one_tenant(10));
+  copy.at(0, members(4));
+  offer(copy, 0, 20, 9, "a", Outcome::kRejected);
+  EXPECT_DOUBLE_EQ(copy.balancer.tenant(copy.now, 0).rate_limit, 10);
+}
+
 TEST(Admission, AtTheHardLimitAllAreDenied) {
   Copy copy(one_tenant(10));
   copy.at(0, members(4));
