Serve on open connections while draining, up to what can be answered before the kill

Cause: stop_accepting() closed all idle connections 0.5 s after SIGTERM, and each answer closed its own, though clients use their connections for as long as these stay open and had no other node. Ruled out: the reload itself (errors at SIGHUP: none), a slow start (listening within 0.1 s). Mend: connections stay until 0.6 s before the longest wait (3 s at most); the time of what comes meanwhile is cut so that all is answered 0.35 s after it, and SIGKILL comes 0.7 s after it at the earliest.

--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -30,9 +30,14 @@
 constexpr double kIdleWait = 10;     // s; between requests
 constexpr double kErrorPause = 0.1;  // s; after an error of the caller's, before the next request is read
 constexpr double kWriteWait = 5;     // s; for a client to take an answer
-constexpr double kLinger = 0.5;     // s; for a client to read the last answer before the connection is closed
-constexpr double kFreshWait = 1.5;  // s; after that, for a first request on a connection that was just made
-constexpr double kAcceptOn = 0.5;   // s; of accepting after the drain has begun
+constexpr double kLinger = 0.5;  // s; for a client to read the last answer before the connection is closed
+// A drain, in s from its start. It is killed once the longest time that a client waits, or 3 s, and 0.7 s
+// more have gone by: by then all that was taken is answered. Clients go on using their connections as long as
+// these stay open, and where no other node stands beside this one they have nowhere else to go.
+constexpr double kMostDrain = 3;
+constexpr double kLastAnswer = 0.35;   // after that longest wait, or 3 s
+constexpr double kLastRequest = 0.6;   // before it
+constexpr double kAcceptOn = 0.5;      // s; of accepting after the drain has begun
 constexpr double kAcceptPause = 0.02;  // s; after an accept that failed
 constexpr std::size_t kReadSize = 4096;
 // Bytes that may wait to be parsed: a whole head, or as much of requests that came before their turn.
@@ -86,8 +91,10 @@
     error_code ignored;
     return socket_.available(ignored) > 0;
   }
-  bool has_served() const { return served_; }
-  void hurry(double seconds) { allow(seconds); }
+  // What is not a request by then is none.
+  void hurry() {
+    if (state_ == State::kReading || state_ == State::kPausing) allow(kLinger);
+  }
   // Ends it without a word.
   void close() {
     if (state_ == State::kClosed) return;
@@ -119,7 +126,7 @@
 
   void timed_out() {
     if (owner_ == nullptr) return;
-    if (state_ == State::kPausing) {
+    if (state_ == State::kPausing && !owner_->closing_) {
       allow(kIdleWait);
       return next_request();
     }
@@ -266,7 +273,11 @@
     share_.keep(ahead_.capacity());  // the rest goes with the request
     if (!message->share.hold(kHeadCost + request_->body().capacity()))
       return respond(refusal(owner_->limits_.busy_retry_after));
-    if (turned_away_) return respond(refusal(owner_->limits_.busy_retry_after));
+    if (owner_->draining_) {
+      const std::chrono::duration<double> left = owner_->last_answer_ - Clock::Steady::now();
+      event.time_left = std::min(event.time_left, left.count());
+    }
+    if (turned_away_ || event.time_left <= 0) return respond(refusal(owner_->limits_.busy_retry_after));
     id_ = event.id;
     drop_hop_by_hop(*request_);
     request_->erase("X-Timeout-Ms");
@@ -321,9 +332,8 @@
   void respond(HttpResponse&& response) {
     if (proven_) unlist();
     state_ = State::kWriting;
-    served_ = true;
     share_.keep(ahead_.capacity() + response.body().size());
-    if (owner_->draining_ || turned_away_) keep_alive_ = false;
+    if (owner_->closing_ || turned_away_) keep_alive_ = false;
     response_ = std::move(response);
     response_.version(11);
     response_.keep_alive(keep_alive_);
@@ -365,7 +375,6 @@
   bool turned_away_;
   State state_ = State::kReading;
   bool reading_ = false;  // a read is out
-  bool served_ = false;   // has had an answer
   bool proven_ = false;   // has asked for something that can be served
   bool pause_ = false;    // after this answer
   bool begun_ = false;    // a byte of the request has come
@@ -465,18 +474,22 @@
 
 void Frontend::ended(Session& session) {
   sessions_.erase(session.at);
-  if (draining_ && drained_ && !acceptor_.is_open() && sessions_.empty()) {
-    asio::post(io_, std::exchange(drained_, nullptr));
-    return;
-  }
+  end_if_drained();
   accept();
 }
 
 void Frontend::drain(std::function<void()> done) {
   if (std::exchange(draining_, true)) return;
   drained_ = std::move(done);
-  const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(kAcceptOn));
-  timer->async_wait([this, timer](error_code) { stop_accepting(); });
+  double longest = 0;
+  for (const RequestClass& c : catalog_.classes) longest = std::max(longest, std::min(c.give_up, kMostDrain));
+  last_answer_ = Clock::Steady::now() + Clock::span(longest + kLastAnswer);
+  const auto after = [this](double seconds, void (Frontend::*step)()) {
+    const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(seconds));
+    timer->async_wait([this, timer, step](error_code) { (this->*step)(); });
+  };
+  after(kAcceptOn, &Frontend::stop_accepting);
+  after(std::max(kAcceptOn, longest - kLastRequest), &Frontend::close_idle);
 }
 
 void Frontend::stop_accepting() {
@@ -490,19 +503,27 @@
     admit(std::move(socket));
   }
   acceptor_.close(bad);
+  end_if_drained();
+}
+
+void Frontend::close_idle() {
+  closing_ = true;
   std::vector<std::shared_ptr<Session>> quiet;
   for (const std::shared_ptr<Session>& session : sessions_) {
-    if (!session->is_idle() || session->has_unread()) continue;
-    // Danger: the first request on a new connection may be on its way, and its client has nothing to tell it
-    // that the connection was closed for good reason.
-    if (session->has_served()) {
+    if (session->is_idle() && !session->has_unread()) {
       quiet.push_back(session);
     } else {
-      session->hurry(kFreshWait);
+      session->hurry();
     }
   }
   for (const std::shared_ptr<Session>& session : quiet) session->close();
-  if (sessions_.empty() && drained_) asio::post(io_, std::exchange(drained_, nullptr));
+  end_if_drained();
+}
+
+void Frontend::end_if_drained() {
+  if (draining_ && drained_ && !acceptor_.is_open() && sessions_.empty()) {
+    asio::post(io_, std::exchange(drained_, nullptr));
+  }
 }
 
 }  // namespace thymewood::node
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -36,7 +36,8 @@
   void start();
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
-  // Goes on accepting for a while, ends each connection with its answer, and calls `done` when none is left.
+  // Goes on accepting for a while and serving for a while longer, sees to it that all that was taken is
+  // answered before the node is killed, and calls `done` when no connection is left.
   void drain(std::function<void()> done);
 
  private:
@@ -49,6 +50,8 @@
   bool evict();
   void ended(Session& session);
   void stop_accepting();
+  void close_idle();
+  void end_if_drained();
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -62,7 +65,8 @@
   // for anything that can be served, and those between two requests.
   std::list<Session*> strangers_, idle_;
   int spare_ = -1;  // a descriptor in reserve
-  bool accepting_ = false, draining_ = false;
+  bool accepting_ = false, draining_ = false, closing_ = false;
+  Clock::Steady::time_point last_answer_;  // of a drain
   std::function<void()> drained_;
 };
 
