Give calls within their tenant's share more room than those beyond it

Ruled out: their own limits (few denials). Mend: 1.3 x the room, at the tier and at each server, for calls within.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -43,6 +43,7 @@
 constexpr double kBaseSettle = 3;    // s; before it the answers are those of the quickest calls only
 constexpr double kBaseGain = 0.02;   // weight of one answer
 constexpr double kBaseFall = 5, kBaseRise = 60;  // s; how fast a quicker, and a slower, tier becomes usual
+constexpr double kShareRoom = 1.3;               // x the room, for calls within their tenant's share
 constexpr double kLeastRoom = 2;  // calls in flight, over all copies, that any server has room for
 constexpr double kStartRoom = 6;  // and more at one that has had no time to answer; fades as answers come
 
@@ -202,6 +203,14 @@
     return admit;
   }
 
+  // Whether the tenant has not had its share of late. Danger: where others flood the tier, what is worth
+  // little takes all the room. Less room for those instead would feed on itself: room is learned from
+  // answers.
+  bool is_within_share(const TenantState& t) const {
+    return settings_.tier == 0 && std::isfinite(t.limit) && t.worth < 1 &&
+           t.window.sums(now_).accepted() <= t.floor * kWindow;
+  }
+
   // Learns a tenant's limit, a step with each call that ends. Danger: calls end a feedback delay after they
   // were let in; a second in which all end badly takes kStep of a limit and no more, however high it is.
   void review(TenantState& t, bool bad) {
@@ -310,20 +319,21 @@
 
   // Whether a further call would be answered well before its aim: calls in flight against answers a second.
   // Danger: a queue longer than the aim feeds itself. One call has room: at many copies each has but a part.
-  bool has_room(const ServerNode& s) const {
+  bool has_room(const Pending& p, const ServerNode& s) const {
     const double start = unmeasured_room(s.met_at) / sharers_;
-    return s.in_flight < std::max(1.0, start + kQueueFactor * idle_wait() * s.answered.at(now_));
+    const double room = start + kQueueFactor * idle_wait() * s.answered.at(now_);
+    return s.in_flight < std::max(1.0, room * (p.within_share ? kShareRoom : 1));
   }
 
   // The same for all servers, by a measure that is steadier; past the first tier nothing is refused for it.
-  bool tier_has_room() {
+  bool tier_has_room(const Pending& p) {
     if (settings_.tier > 0) return true;
     const double start = unmeasured_room(met_at_) * static_cast<double>(subset_.size()) / sharers_;
     const double waiting = idle_wait() * answered_.at(now_);
     // Danger: what chance needs at each of many copies is a crowd over all: it is given in calm only.
     const double calm = std::clamp((kCrowded - recent_.mean) / (kCrowded - kCalm), 0.0, 1.0);
     const double room = start + kTierFactor * waiting + calm * (kChance + kNoise * std::sqrt(waiting));
-    return in_flight_ + random_.unit() < std::min(knee(), room);
+    return in_flight_ + random_.unit() < std::min(knee(), room) * (p.within_share ? kShareRoom : 1);
   }
 
   double knee() const { return knee_ * std::exp((now_ - knee_at_) / kKneeMemory); }
@@ -395,7 +405,7 @@
     choice_.clear();
     for (const std::size_t i : from) {
       ServerNode& s = servers_[i];
-      if ((healthy && failing(s) >= kIll) || (untried && p.tried(i)) || (room && !has_room(s))) continue;
+      if ((healthy && failing(s) >= kIll) || (untried && p.tried(i)) || (room && !has_room(p, s))) continue;
       if (in_scope(p, s) && budget_allows(s)) choice_.push_back(i);
     }
     return !choice_.empty();
@@ -404,7 +414,7 @@
   // The less busy of two random members of the subset. Where it has too few that are well, all servers stand
   // in; where none is well the cause is shared and health does not count.
   std::optional<std::size_t> pick(const Pending& p) {
-    if (!tier_has_room()) return std::nullopt;
+    if (!tier_has_room(p)) return std::nullopt;
     const bool first_tier = settings_.tier == 0;
     const bool found =
         (gather(subset_, p, true, true, true) && choice_.size() * 2 >= subset_.size()) ||
@@ -506,6 +516,7 @@
   void on(const Request& r) {
     if (pending_.contains(r.id)) return;  // an id that is still open: one answer is owed, not two
     const std::size_t tenant = std::min(r.tenant, tenants_.size() - 1);
+    const bool within_share = is_within_share(tenants_[tenant]);
     if (!admits(tenants_[tenant])) {
       out_->push_back(Refuse{r.id, settings_.max_retry_after / 2});
       note_shed(denied_);
@@ -520,6 +531,7 @@
     if (std::isfinite(c.aim)) aim_.add(std::min(c.aim, c.give_up), kLatencyGain);
     const double aim = std::min(c.aim + c.aim_stretch * r.work.value_or(0), c.give_up);
     p.useful_until = now_ + std::min(r.time_left, c.late_worth > 0 ? r.time_left : aim - 2 * settings_.tick);
+    p.within_share = within_share;
     if (send(r.id, p)) return;
     review(tenants_[tenant], true);
     note_shed(unplaced_);
--- a/src/support.h
+++ b/src/support.h
@@ -117,7 +117,7 @@
   std::size_t tenant = 0, request_class = 0;
   double useful_until = 0;  // when the answer becomes worthless
   std::vector<Attempt> attempts;
-  bool finished = false, streaming = false;
+  bool finished = false, streaming = false, within_share = false;
 
   bool any_open() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -88,6 +88,25 @@
   EXPECT_DOUBLE_EQ(copy.balancer.tenant(copy.now, 0).rate_limit, 10);
 }
 
+// Guards against a tenant within its share that finds no server, since one far over its own holds all the
+// room.
+TEST(Admission, WithinItsShareATenantFindsRoomWhereAnotherHoldsIt) {
+  Settings s = basic_settings();
+  s.tenants = {{2.0}, {2.0}};
+  s.over_share_worth = 0.05;
+  Copy copy(s);
+  copy.at(0, members(6));
+  copy.now = 30;  // nothing of the start's room is left
+  const auto sent = [&](const std::string& prefix, std::size_t tenant, int calls) {
+    std::size_t out = 0;
+    for (int i = 0; i < calls; ++i) out += all<Send>(copy.request(prefix + std::to_string(i), tenant)).size();
+    return out;
+  };
+  EXPECT_GT(sent("flood", 0, 14), 8U) << "its share of the window, and more";
+  EXPECT_EQ(sent("more", 0, 3), 0U) << "all the room is taken";
+  EXPECT_GT(sent("within", 1, 3), 0U);
+}
+
 TEST(Admission, AtTheHardLimitAllAreDenied) {
   Copy copy(one_tenant(10));
   copy.at(0, members(4));
