--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -34,7 +34,7 @@
 // Bytes of an answer that may wait to be parsed: a whole head and some more. Danger: a parser asks for more
 // of a line that does not end, as in the extension of a chunk, for as long as there is room.
 constexpr std::size_t kMostUnparsed = kHeaderLimit + 16 * 1024;
-constexpr std::size_t kKeptBuffer = 4 * 1024;  // bytes of buffer that an idle connection may keep
+constexpr std::size_t kKeptBuffer = 4096;  // bytes of buffer that an idle connection may keep
 
 // Whether the server has closed it or sent what nobody asked for. The event loop may not have come to it yet.
 bool is_readable(tcp::socket& socket) {
