--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -87,6 +87,7 @@
   std::deque<std::shared_ptr<Attempt>> waiting;
   std::size_t dialling = 0;
   std::size_t rests = 0;  // waits for a connection to have rested
+  SpareDials spare;
 };
 
 class Upstream::Attempt {
@@ -163,6 +164,7 @@
   attempt->pool = at->second;
   attempt->request = request;
   attempt->repeatable = repeatable;
+  attempt->pool->spare.request();
   attempt->until = Clock::Steady::now() + Clock::span(timeout);
   attempt->timer.expires_at(attempt->until);
   attempt->timer.async_wait([this, alive = alive_, attempt](error_code cancelled) {
@@ -172,8 +174,9 @@
   if (std::shared_ptr<Connection> connection = take_idle(*attempt->pool, repeatable)) {
     attempt->begin(*this, attempt, std::move(connection));
   } else if (is_resting(*attempt->pool)) {
-    // One that rests will be free sooner than a new one is up.
+    // Whichever is free first; often one that rests is, sooner than a new one is up.
     attempt->pool->waiting.push_back(attempt);
+    if (connections_ < limits_.max_connections && attempt->pool->spare.take()) dial(attempt->pool);
     serve_rested(attempt->pool);
   } else if (make_room()) {
     attempt->pool->waiting.push_back(attempt);
@@ -225,6 +228,7 @@
     return release(connection, true);
   }
   drop(connection);
+  pool->spare.failed();
   // Each that waits has a dial; one whose place was taken over by a freed connection leaves a spare.
   if (pool->rests == 0 && pool->waiting.size() > pool->dialling)
     finish(pool->waiting.front(), Outcome::kDialFailed, false);
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -13,6 +13,7 @@
 #include "clock.h"
 #include "idle_trust.h"
 #include "message.h"
+#include "spare_dials.h"
 #include "thymewood/balancer.h"
 
 namespace thymewood::node {
