Remember the least busy server of the last draws; leave one that turned a call away alone

And a full server has nothing in flight, so it went on drawing calls; what it turned away counted against the tenth of calls that may be sent again.

Now the less busy of two random members is held against the least busy one of the draw before (memory in randomized load balancing: stable for any mix of speeds). A server that turned a call away gets none until one of its calls is likely to have ended, and such a call goes elsewhere freely, within the most attempts.

--- a/bench/virtual/main.cpp
+++ b/bench/virtual/main.cpp
@@ -36,9 +36,10 @@
   CLI::App app{"Plays scenarios in virtual time: the decision module against modelled servers."};
   PlayOptions options;
   std::string series;
-  bool talk = false;
+  bool talk = false, oracle = false;
   options.add_to(app);
   app.add_option("--series", series, "write a row a second of the last run to this file");
+  app.add_flag("--oracle", oracle, "beside each run, a front that knows what every server can do and holds");
   app.add_flag("--log", talk, "print what the copies log and which rules were broken");
   CLI11_PARSE(app, argc, argv);
   std::printf("%-28s %-6s %5s %10s %9s %8s %8s %8s %9s %9s %9s %7s %6s\n", "scenario", "front", "load",
@@ -52,6 +53,7 @@
       print_row(scenario.name, "module", by, r);
       if (options.direct)
         print_row(scenario.name, "direct", by, play(scenario, Front::kDirect, options.seed));
+      if (oracle) print_row(scenario.name, "oracle", by, play(scenario, Front::kOracle, options.seed));
       if (talk) {
         for (const std::string& line : r.log) std::cout << "  " << line << '\n';
         for (const std::string& line : r.breaks) std::cout << "  BROKEN " << line << '\n';
--- a/bench/virtual/player.h
+++ b/bench/virtual/player.h
@@ -16,6 +16,10 @@
 enum class Front {
   kModule,  // the copies decide
   kDirect,  // no copies: each request goes to the next server in turn, and waits there as long as it may
+  // No copies: knows at every moment what each server can do and holds, and picks the one where a mean
+  // request would end first; refuses where that is past the aim. It knows no request's own work, and sends
+  // none twice.
+  kOracle,
 };
 
 // One second of a run.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -85,7 +85,9 @@
   std::uint64_t order = 0, listed = 0;  // listed: in which membership update it was told last
   int in_flight = 0, named = 0;         // named: by attempts of open requests, ended ones too
   bool forgotten = false;               // its place is free for another
-  double failing = 0, failing_at = 0;   // failure average and when it was last brought up to date
+  bool in_subset = false;
+  double full_until = 0;  // it turned a call away, and of those that it has none is likely to have ended yet
+  double failing = 0, failing_at = 0;  // failure average and when it was last brought up to date
   int failures_in_row = 0;
   double cold_tokens = 0, cold_at = 0;
   Throughput answered;
@@ -289,6 +291,8 @@
     subset_ = own_part({ring_.begin(), away});
     const std::vector<std::size_t> others = own_part({away, ring_.end()});
     subset_.insert(subset_.end(), others.begin(), others.end());
+    for (ServerNode& s : servers_) s.in_subset = false;
+    for (const std::size_t i : subset_) servers_[i].in_subset = true;
     sharers_ = std::max(1.0, static_cast<double>(settings_.copy_count) * static_cast<double>(subset_.size()) /
                                  static_cast<double>(ring_.size()));
   }
@@ -310,8 +314,10 @@
   }
 
   // Whether a further call would be answered well before its aim: calls in flight against answers a second.
-  // Danger: a queue longer than the aim feeds itself. One call has room: at many copies each has but a part.
+  // Danger: a queue longer than the aim feeds itself. One call has room: at many copies each has but a part;
+  // but not where one has just been turned away.
   bool has_room(const Pending& p, const ServerNode& s) const {
+    if (now_ < s.full_until) return false;
     const double room = room_.at_server(now_, s.answered, s.met_at, sharers_);
     return s.in_flight < std::max(1.0, room * (p.within_share ? kShareRoom : 1));
   }
@@ -373,14 +379,18 @@
     return true;
   }
 
+  bool may_use(std::size_t i, const Pending& p, bool healthy, bool untried, bool room) {
+    ServerNode& s = servers_[i];
+    return !(healthy && failing(s) >= kIll) && !(untried && p.tried(i)) && !(room && !has_room(p, s)) &&
+           in_scope(p, s) && budget_allows(s);
+  }
+
   // Gathers the servers of `from` that may be used; returns whether there are any. Past the first tier room
   // is a wish: a refusal there wastes what was done above.
   bool gather(const std::vector<std::size_t>& from, const Pending& p, bool healthy, bool untried, bool room) {
     choice_.clear();
     for (const std::size_t i : from) {
-      ServerNode& s = servers_[i];
-      if ((healthy && failing(s) >= kIll) || (untried && p.tried(i)) || (room && !has_room(p, s))) continue;
-      if (in_scope(p, s) && budget_allows(s)) choice_.push_back(i);
+      if (may_use(i, p, healthy, untried, room)) choice_.push_back(i);
     }
     return !choice_.empty();
   }
@@ -402,7 +412,14 @@
     std::size_t second = random_.below(choice_.size() - 1);
     if (second >= first) ++second;
     const std::size_t a = choice_[first], b = choice_[second];
-    return busyness(servers_[b]) < busyness(servers_[a]) ? b : a;
+    std::size_t best = busyness(servers_[b]) < busyness(servers_[a]) ? b : a;
+    const std::size_t kept = remembered_;
+    if (kept < servers_.size() && servers_[kept].in_subset && kept != a && kept != b &&
+        is_away(servers_[kept]) == is_away(servers_[best]) && may_use(kept, p, true, true, true) &&
+        busyness(servers_[kept]) < busyness(servers_[best]))
+      best = kept;
+    remembered_ = best;
+    return best;
   }
 
   // ---------------------------------------------------------------- how long?
@@ -422,9 +439,10 @@
 
   // Whether one more attempt takes of what is saved up for them. Guards the servers against work done twice;
   // a connection that is refused, or was dropped while idle and is reset at the next request, has brought
-  // none.
+  // none, and neither has a queue that was full.
   static bool is_budgeted(const AttemptResult& r) {
-    return r.elapsed >= kAtOnce || (r.outcome != Outcome::kDialFailed && r.outcome != Outcome::kReset);
+    return r.elapsed >= kAtOnce || (r.outcome != Outcome::kDialFailed && r.outcome != Outcome::kReset &&
+                                    r.outcome != Outcome::kRejected);
   }
 
   bool worth_another(const Pending& p, bool budgeted) const {
@@ -564,6 +582,8 @@
     // Danger: a caller that gives up before answers usually come says nothing of the server. A further
     // attempt that comes too late is another matter: that is the module's own doing.
     if (r.outcome == Outcome::kTimedOut && r.attempt == 0 && r.elapsed < c.latency.mean) return;
+    if (r.outcome == Outcome::kRejected) s.full_until = now_ + c.latency.mean / (s.in_flight + 1);
+    if (answered) s.full_until = 0;
     if (r.outcome != Outcome::kRejected) note_health(s, answered);
     if (answered) room_.answered(now_, p.request_class, r.elapsed, in_flight_, usual_.mean, s.answered);
     if (answered || r.outcome == Outcome::kTimedOut) {
@@ -633,6 +653,7 @@
   std::unordered_map<std::string, std::size_t> by_address_;
   std::vector<std::size_t> unused_;  // places of servers that were forgotten
   std::vector<std::size_t> ring_, subset_, choice_;
+  std::size_t remembered_ = 0;
   double ready_weight_ = 0, sharers_ = 1;  // sharers: copies that use the same server
   FadingRate admitted_{kAdmittedMemory};
   int in_flight_ = 0;
