Prove idle times only where few copies share a server; split off tenants' limits

Cause: a trial of fewer calls of one copy among many hardly moves the queue at a server, so that calls take as long and the queue passed for none.

balance.cpp held the tenants' limits beside all else: src/tenant.h has them, unchanged, with suppression_factor.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -8,6 +8,7 @@
 
 #include "room.h"
 #include "support.h"
+#include "tenant.h"
 #include "thymewood/balancer.h"
 
 namespace thymewood {
@@ -15,17 +16,6 @@
 
 // ---------------------------------------------------------------- constants
 
-constexpr double kBucket = 0.1;     // s; grain of the sliding window, a tenth of the short rate's second
-constexpr int kWindowBuckets = 40;  // 4 s: a copy that sees a call a second has some calls to judge by
-constexpr double kWindow = kBucket * kWindowBuckets;
-constexpr double kHardLimitFactor = 20;  // denied calls count too: below real floods nothing is denied whole
-constexpr double kFactorCache = 0.1;     // s; as in the source
-constexpr double kNoise = 1.5;           // standard deviations of a count that a bound leaves to chance
-constexpr double kStartShare = 1.5;      // x a copy's part of the allowance; a generous start of a limit
-constexpr double kFloor = 1;  // x the same; floor of a limit: the tier can do more than all shares together
-constexpr double kDeepFloor = 6;  // x the same; a limit's floor past tier 0: a refusal wastes the work above
-constexpr double kStep = 0.4, kMostStep = 0.1;  // calls/s, and of the limit: what a bad end takes off at most
-constexpr double kBadShare = 0.25;              // bad ends for a good one at which a limit stays where it is
 constexpr double kInTime = 0.6;  // of the aim; slower answers tell of queues before the aim is missed
 
 constexpr std::size_t kSubset = 5;     // servers at least; enough spread, few connections
@@ -70,12 +60,6 @@
   return outcome == Outcome::kRejected || outcome == Outcome::kDialFailed || outcome == Outcome::kNotSent;
 }
 
-struct TenantState {
-  SlidingWindow window{kBucket, kWindowBuckets, 10};  // 10: 1000 ms, the short rate of the source
-  double limit = kForever, start = kForever, floor = 0, worth = 1;  // worth: of what exceeds the start
-  double factor = 0, factor_until = -kForever;
-};
-
 // What attempts of a class take.
 struct ClassTime {
   Estimate latency;  // s
@@ -88,7 +72,7 @@
   std::uint64_t order = 0, listed = 0;  // listed: in which membership update it was told last
   int in_flight = 0, named = 0;         // named: by attempts of open requests, ended ones too
   bool forgotten = false;               // its place is free for another
-  bool in_subset = false;
+  bool in_subset = false;               // of those that this copy draws from
   double full_until = 0;  // it turned a call away, and of those that it has none is likely to have ended yet
   double failing = 0, failing_at = 0;  // failure average and when it was last brought up to date
   int failures_in_row = 0;
@@ -101,11 +85,6 @@
 
 }  // namespace
 
-double suppression_factor(double rate_limit, double window_rate, double last_second_rate) {
-  const double perceived = std::max(window_rate, last_second_rate);
-  return perceived <= 0 ? 0 : std::clamp(1 - rate_limit / perceived, 0.0, 1.0);
-}
-
 // Evenly spaced starts on a ring: any two servers differ by at most one in how many copies use them, and a
 // server that leaves moves each start by one place at most.
 std::vector<std::size_t> subset_of(std::size_t copy_index, std::size_t copy_count, std::size_t servers,
@@ -126,7 +105,7 @@
       classes_.push_back({{aim / 4, aim / 8, 0}});
     }
     settings_.tenants.emplace_back();
-    for (const Tenant& told : settings_.tenants) tenants_.push_back(first_limit(told));
+    for (const Tenant& told : settings_.tenants) tenants_.emplace_back(told, settings_);
   }
 
   void handle(double now, const Event& event, std::vector<Action>& actions) {
@@ -138,9 +117,7 @@
   std::size_t servers() const { return servers_.size() - unused_.size(); }
 
   TenantView view(double now, std::size_t tenant) const {
-    const TenantState& t = tenants_[std::min(tenant, tenants_.size() - 1)];
-    const SlidingWindow::Sums sums = t.window.sums(now);
-    return {t.limit, factor_of(t, sums), sums.total, sums.declined};
+    return tenants_[std::min(tenant, tenants_.size() - 1)].view(now);
   }
 
   RoomView room(double now) const {
@@ -160,47 +137,6 @@
 
   // ---------------------------------------------------------------- admit?
 
-  TenantState first_limit(const Tenant& told) const {
-    TenantState t;
-    if (told.allowance) {
-      const double part = *told.allowance / settings_.copy_count;
-      t.floor = part * (settings_.tier == 0 ? kFloor : kDeepFloor);
-      t.worth = settings_.over_share_worth;
-      t.limit = t.start = std::max(t.floor, part * kStartShare + kNoise * std::sqrt(part / kWindow));
-    }
-    return t;
-  }
-
-  static double factor_of(const TenantState& t, const SlidingWindow::Sums& sums) {
-    const double soft = t.limit * kWindow;
-    if (sums.accepted() < soft) return 0;
-    if (sums.total >= soft * kHardLimitFactor) return 1;
-    return suppression_factor(t.limit, sums.total / kWindow, sums.last_second);
-  }
-
-  // The factor is cached as in the source, but for its ends: those are two comparisons.
-  bool admits(TenantState& t) {
-    double factor = factor_of(t, t.window.sums(now_));
-    if (factor > 0 && factor < 1) {
-      if (now_ >= t.factor_until) {
-        t.factor = factor;
-        t.factor_until = now_ + kFactorCache;
-      }
-      factor = t.factor;
-    }
-    const bool admit = factor == 0 || random_.unit() >= factor;
-    t.window.add(now_, !admit);
-    return admit;
-  }
-
-  // Whether the tenant has not had its share of late. Danger: where others flood the tier, what is worth
-  // little takes all the room. Less room for those instead would feed on itself: room is learned from
-  // answers.
-  bool is_within_share(const TenantState& t) const {
-    return settings_.tier == 0 && std::isfinite(t.limit) && t.worth < 1 &&
-           t.window.sums(now_).accepted() <= t.floor * kWindow;
-  }
-
   // Whether the caller gives up sooner than calls of its class are answered. Danger: sent, it would fail for
   // good where it may not be repeated, and its work be for nothing; refused, it may come back. Past the first
   // tier the work above is spent already. Some are tried all the same, or a time once learned would last.
@@ -210,20 +146,6 @@
            random_.unit() >= kTryAnyway;
   }
 
-  // Learns a tenant's limit, a step with each call that ends. Danger: calls end a feedback delay after they
-  // were let in; a second in which all end badly takes kStep of a limit and no more, however high it is.
-  void review(TenantState& t, bool bad) {
-    if (!std::isfinite(t.limit)) return;
-    const double step = std::min(kMostStep, kStep / t.limit);
-    if (bad) {
-      t.limit = std::max(t.floor, t.limit * (1 - step));
-    } else if (t.window.sums(now_).accepted() > t.limit * kWindow / 2) {
-      // Idle servers lose nothing by more, unless it is told to be worth nothing.
-      const double worth = t.worth > 0 ? t.worth + (1 - t.worth) * room_.unqueued() : 0;
-      t.limit *= 1 + step * kBadShare * (t.limit > t.start ? worth : 1);
-    }
-  }
-
   // ---------------------------------------------------------------- who is there?
 
   void learn(const Server& told) {
@@ -545,8 +467,8 @@
   void on(const Request& r) {
     if (pending_.contains(r.id)) return;  // an id that is still open: one answer is owed, not two
     const std::size_t tenant = std::min(r.tenant, tenants_.size() - 1);
-    const bool within_share = is_within_share(tenants_[tenant]);
-    if (!admits(tenants_[tenant])) {
+    const bool within_share = tenants_[tenant].is_within_share(now_);
+    if (!tenants_[tenant].admits(now_, random_)) {
       out_->push_back(Refuse{r.id, advice()});
       note_shed(denied_);
       return;
@@ -566,8 +488,8 @@
     p.useful_until = now_ + std::min(r.time_left, c.late_worth > 0 ? r.time_left : aim - 2 * settings_.tick);
     p.within_share = within_share;
     if (send(r.id, p, false)) return;
-    room_.refused(now_, in_flight_, settings_.tier == 0);
-    review(tenants_[tenant], true);
+    room_.refused(now_, in_flight_, settings_.tier == 0, sharers_);
+    tenants_[tenant].ended(now_, true, room_.unqueued());
     note_shed(unplaced_);
     answer_unserved(r.id, p);
     pending_.erase(it);
@@ -623,7 +545,8 @@
     const bool crowd = r.outcome == Outcome::kRejected || r.outcome == Outcome::kTimedOut ||
                        r.outcome == Outcome::kDialFailed;
     const double aim = settings_.classes[p.request_class].aim;
-    if (answered ? r.elapsed < kInTime * aim : was_well && crowd) review(tenants_[p.tenant], !answered);
+    if (answered ? r.elapsed < kInTime * aim : was_well && crowd)
+      tenants_[p.tenant].ended(now_, !answered, room_.unqueued());
   }
 
   void on(const AnswerStarted& r) {
@@ -668,7 +591,7 @@
   Random random_;
   double now_ = 0;
   std::vector<Action>* out_ = nullptr;
-  std::vector<TenantState> tenants_;
+  std::vector<TenantLimit> tenants_;
   Estimate usual_{1, 0, 0};  // s; answer time over all servers and classes
   std::vector<ClassTime> classes_;
   LearnedRoom room_;
--- a/src/room.cpp
+++ b/src/room.cpp
@@ -44,7 +44,10 @@
     1;  // s; so long after a refusal for want of room, calls in flight are what room is
 constexpr double kTrialWait = 1.5,
                  kTrialLeast = 12;  // x the idle answer time; calls: a queue that has to spare
-constexpr double kSureRoom = 1.3;   // x the calls that are worked on at once; no crowd is seen below
+// Copies at a server. Danger: half the calls of one among many take next to nothing of a queue, and the queue
+// would pass for none.
+constexpr double kProofSharers = 2;
+constexpr double kSureRoom = 1.3;  // x the calls that are worked on at once; no crowd is seen below
 
 // s; by when an answer is worth its wait: the aim, and a part of what lies between it and the end where a
 // late answer still has worth. Danger: all of that part lets queues grow in which servers turn slow.
@@ -114,7 +117,7 @@
   server.add(now, known, natural_ + wait_);
   all_.add(now, known, natural_ + wait_);
   trial_.answered(now, c.idle_time(), in_flight, usual_answer_time, elapsed);
-  if (trial_.take_proof()) {
+  if (trial_.take_proof() && may_prove_) {
     for (ClassRoom& each : classes_) each.idle.prove(now);
     waits_until_ = now;
   }
@@ -134,8 +137,9 @@
 
 // Danger: servers that were crowded from the start never show what they do otherwise. Half of a long queue
 // still keeps them busy; a short one is left alone, for there fewer calls leave servers idle.
-void LearnedRoom::refused(double now, double in_flight, bool may_try) {
+void LearnedRoom::refused(double now, double in_flight, bool may_try, double sharers) {
   refused_at_ = now;
+  may_prove_ = sharers <= kProofSharers;
   if (!may_try || (sure_ && wait_ < kTrialWait * natural_)) return;
   trial_.refused(now, in_flight, std::max(kTrialLeast, kSureRoom * all_.worked_on(now)));
 }
--- a/src/room.h
+++ b/src/room.h
@@ -63,8 +63,9 @@
                 double usual_answer_time, Throughput& server);
   // A call was answered or timed out: so long do calls take now.
   void took(double now, std::size_t request_class, double elapsed);
-  // A call was refused for want of room; where `may_try`, fewer in flight are tried now and then.
-  void refused(double now, double in_flight, bool may_try);
+  // A call was refused for want of room; where `may_try`, fewer in flight are tried now and then. `sharers`:
+  // as below.
+  void refused(double now, double in_flight, bool may_try, double sharers);
   // Other servers stand behind it from now on.
   void forget_crowds() { trial_.forget(); }
 
@@ -96,7 +97,8 @@
   Throughput all_;
   RoomTrial trial_;
   double natural_ = 0, wait_ = 0, waits_until_ = 0;
-  bool sure_ = false;  // whether natural_ is known by answers without queues
+  bool sure_ = false;       // whether natural_ is known by answers without queues
+  bool may_prove_ = false;  // whether trials of this copy move the queues at its servers
   double refused_at_ = -RoomTrial::kNoBound;
   Estimate recent_, stretch_;  // answer time now, in parts of the aim and of the idle one
   double recent_at_ = 0;
