Take what a node that was away reads as old as the kernel says, and look before each send

Seen: a node stopped for 1.5 s (SIGSTOP) while 20 callers each sent it an unsafe call with X-Timeout-Ms 500, gave up and closed; after SIGCONT calls reached the server for callers long gone. The same with callers that closed early on known connections, with a connection to a server that came up meanwhile (it was written to, X-Timeout-Ms 13855), with a core that the node got for 2 ms in 150 (32 of 32 sent), and with a drain told meanwhile (the requests were read before it).

Ruled out: timers. Reads do come before timers in one turn of the loop, so an open request's answer was found first already. At fault: frontend.cpp, handle() counted a request's time from its own look; upstream.cpp, Attempt::begin() clamped a time that was over to 1 ms and sent; nothing asked for the caller or for discovery's word before a send.

Change: no guess at how long the loop was away. The kernel knows when data came and whether the peer has closed (TCP_INFO, node/arrival.h): a request's time is less its age, an attempt asks right before its first byte whether its caller waits, its time is left and its server is wanted; the watch is read by calls that can come at any time, and is looked at before a send if that was over 0.1 s ago; the time an answer lay unread is not counted as its server's.

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -1,10 +1,13 @@
 #include "discovery.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <charconv>
 #include <iostream>
 #include <stdexcept>
@@ -25,6 +28,7 @@
 constexpr int kFirstTries = 4;
 constexpr double kFirstPause = 0.3;
 constexpr double kDial = 1.5;  // s; for the connection alone
+constexpr std::size_t kReadSize = std::size_t{16} * 1024;
 constexpr std::size_t kLongestLine = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
@@ -103,7 +107,7 @@
       self->allow(kSilence);
       http::async_write(self->socket_, self->request_, [self](error_code bad, std::size_t) {
         if (bad) return self->end();
-        self->read();
+        self->wait();
       });
     });
   }
@@ -128,27 +132,68 @@
   void allow(double seconds) {
     timer_.expires_after(Clock::span(seconds));
     timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-      if (!cancelled && Clock::Steady::now() >= self->timer_.expiry()) self->end();
+      if (cancelled || Clock::Steady::now() < self->timer_.expiry() || self->owner_ == nullptr) return;
+      // Danger: a node that was away finds its timer over before what came meanwhile.
+      if (!self->pull() || Clock::Steady::now() < self->timer_.expiry()) return;
+      self->end();
+    });
+  }
+
+  void wait() {
+    asked_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
+      if (self->owner_ == nullptr) return;
+      if (bad) return self->end();
+      if (self->pull()) self->wait();
     });
   }
 
-  void read() {
-    http::async_read_some(
-        socket_, buffer_, parser_, [self = shared_from_this()](error_code bad, std::size_t) {
-          if (self->owner_ == nullptr) return;
-          if (self->parser_.is_header_done() && self->parser_.get().result() != http::status::ok) {
-            return self->end();
+ public:
+  // Reads until nothing more is there. Between two calls no operation works on parser and buffer, so that
+  // this may come at any time. False: the watch has ended, or another has taken over.
+  bool pull() {
+    if (std::exchange(pulling_, true)) return true;  // a listener's doing, from within a line
+    const bool open = read_all();
+    pulling_ = false;
+    return open;
+  }
+
+ private:
+  bool read_all() {
+    while (asked_ && owner_ != nullptr) {
+      error_code bad;
+      const asio::mutable_buffer room = buffer_.prepare(kReadSize);
+      const ssize_t got = ::recv(socket_.native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+      if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return true;
+      if (got <= 0) {
+        end();
+        return false;
+      }
+      buffer_.commit(static_cast<std::size_t>(got));
+      while (buffer_.size() > 0 && !bad && !parser_.is_done()) {
+        const std::size_t used = parser_.put(buffer_.data(), bad);
+        buffer_.consume(used);
+        if (parser_.is_header_done()) {
+          if (parser_.get().result() != http::status::ok) {
+            end();
+            return false;
           }
-          self->take(self->parser_.is_header_done());
-          if (self->owner_ == nullptr) return;
-          if (bad || self->parser_.is_done()) return self->end();
-          self->read();
-        });
+          take();
+          if (owner_ == nullptr) return false;
+        }
+        if (used == 0) break;
+      }
+      if (bad == http::error::need_more) bad = {};
+      if (bad || parser_.is_done()) {
+        end();
+        return false;
+      }
+    }
+    return owner_ != nullptr;
   }
 
   // Lines come split and joined as the chunks please.
-  void take(bool any) {
-    if (!any) return;
+  void take() {
     std::string& body = parser_.get().body();
     if (!body.empty()) allow(kSilence);
     line_ += body;
@@ -172,6 +217,8 @@
   http::response_parser<http::string_body> parser_;
   boost::beast::flat_buffer buffer_;
   std::string line_;
+  bool asked_ = false;  // the call is written: an answer may come
+  bool pulling_ = false;
 };
 
 Discovery::Discovery(asio::io_context& io, tcp::endpoint where, Directory directory, const Clock& clock,
@@ -193,6 +240,10 @@
   if (!watch_ && tries_left_ == 0) open();
 }
 
+void Discovery::refresh() {
+  if (const std::shared_ptr<Watch> held = watch_) held->pull();
+}
+
 void Discovery::open() {
   if (watch_) watch_->abandon();
   watch_ = std::make_shared<Watch>(*this);
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -57,6 +57,9 @@
 
   // Asks for the changes after the list in hand, unless a watch is open or about to be.
   void watch();
+  // Takes in at once what discovery has sent and has not been read: the listener hears of it from within.
+  // Where nothing waits it costs one system call.
+  void refresh();
   // Discovery has moved: the watch goes on at the new address, with the whole list.
   void move_to(const boost::asio::ip::tcp::endpoint& where);
   void set_index(std::uint64_t index) { index_ = index; }
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <variant>
 
+#include "arrival.h"
+
 namespace thymewood::node {
 namespace {
 
@@ -19,6 +21,10 @@
 constexpr double kMargin = 0.040;
 // s. If by then, for whatever reason, there is no answer, the node fails the request itself.
 constexpr double kGuardMargin = 0.020;
+// s. A list that was brought up to date longer ago is looked at again before the next send. Danger: a node
+// that was stopped finds callers' requests and discovery's word side by side, and a drain that was told
+// meanwhile counts.
+constexpr double kListAge = 0.1;
 constexpr double kReconnect = 1;  // s; mean wait before a broken watch is made anew, where lists are pushed
 
 }  // namespace
@@ -26,7 +32,7 @@
 bool Dispatcher::Held::any_open() const { return std::find(open.begin(), open.end(), true) != open.end(); }
 
 Dispatcher::Dispatcher(asio::io_context& io, const Clock& clock, const Settings& settings, std::uint64_t seed,
-                       std::size_t max_open, Upstream& upstream, std::function<void()> watch)
+                       std::size_t max_open, Upstream& upstream, List list)
     : io_(io),
       clock_(clock),
       balancer_(settings, seed),
@@ -35,26 +41,28 @@
       max_open_(max_open),
       busy_retry_after_(settings.max_retry_after / 2),
       upstream_(upstream),
-      watch_(std::move(watch)) {
+      list_(std::move(list)) {
   for (const RequestClass& c : settings.classes) effects_.push_back(c.effect);
 }
 
 void Dispatcher::start(const Membership& known) {
   if (!known.members.empty()) members(known);
   happen(Started{});
-  if (!must_watch_) watch_();
+  if (!must_watch_) list_.watch();
 }
 
-void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to) {
+void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, Asker asker) {
   // Turned away before the module hears of it, as the settings have it.
   if (held_.size() >= max_open_) {
-    return answer_to({Answer::Kind::kRefused, busy_retry_after_, {}});
+    return asker.answer_to({Answer::Kind::kRefused, busy_retry_after_, {}});
   }
   const std::string id = event.id;
   const double now = clock_.now();
   Held& held = held_[id];
   held.message = std::move(message);
-  held.answer_to = std::move(answer_to);
+  held.answer_to = std::move(asker.answer_to);
+  held.still_waits = std::make_shared<const std::function<bool()>>(std::move(asker.still_waits));
+  held.taken = now;
   held.repeatable = event.request_class < effects_.size() && effects_[event.request_class] != Effect::kUnsafe;
   held.until = now + event.time_left - kMargin;
   held.guard = std::make_unique<asio::steady_timer>(io_, clock_.at(now + event.time_left - kGuardMargin));
@@ -116,7 +124,7 @@
   const double wait = kReconnect * std::uniform_real_distribution<>(0.5, 1.5)(jitter_);
   const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(wait));
   timer->async_wait([this, timer](error_code cancelled) {
-    if (!cancelled) watch_();
+    if (!cancelled) list_.watch();
   });
 }
 
@@ -159,20 +167,20 @@
   if (at != held_.end() && !at->second.any_open()) perform(Fail{request->id});
 }
 
-void Dispatcher::attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
-                               HttpResponse&& response) {
+void Dispatcher::attempt_ended(const std::string& id, int attempt, double sent, Upstream::End&& end) {
   const auto at = held_.find(id);
   if (at == held_.end()) return;
   Held& held = at->second;
   held.open[static_cast<std::size_t>(attempt)] = false;
-  if (outcome == Outcome::kDelivered && !held.over()) {
-    answer(held, {Answer::Kind::kServed, 0, std::move(response)});
+  if (end.outcome == Outcome::kDelivered && !held.over()) {
+    answer(held, {Answer::Kind::kServed, 0, std::move(end.response)});
   }
   AttemptResult event;
   event.id = id;
   event.attempt = attempt;
-  event.outcome = outcome;
-  event.elapsed = clock_.now() - sent;
+  event.outcome = end.outcome;
+  // What lay unread while this node was away is not the server's time.
+  event.elapsed = std::max(0.0, clock_.now() - sent - end.unread);
   event.request_done = held.over();
   happen(std::move(event));
   settle(id);
@@ -181,7 +189,7 @@
 // ---------------------------------------------------------------- the final answer
 
 void Dispatcher::answer(Held& held, Answer&& answer) {
-  const AnswerTo answer_to = std::exchange(held.answer_to, nullptr);
+  const auto answer_to = std::exchange(held.answer_to, nullptr);
   held.guard.reset();
   answer_to(std::move(answer));
 }
@@ -217,11 +225,22 @@
   double timeout = action.timeout == 0 ? left : std::min(action.timeout, left);
   if (held.over()) timeout = 0;  // danger: a send after the final answer; it never leaves
   held.open.push_back(true);
-  held.attempts.push_back(
-      upstream_.start(action.server, held.message, timeout, held.repeatable,
-                      [this, id = action.id, attempt, now](Outcome outcome, HttpResponse&& response) {
-                        attempt_ended(id, attempt, now, outcome, std::move(response));
-                      }));
+  held.attempts.push_back(upstream_.start(
+      action.server, held.message, timeout, held.repeatable,
+      {[this, taken = held.taken, waits = held.still_waits] { return may_send(taken, *waits); },
+       [this, id = action.id, attempt, now](Upstream::End&& end) {
+         attempt_ended(id, attempt, now, std::move(end));
+       }}));
+}
+
+// Asked right before the first byte of an attempt. It may bring news of the list with it.
+bool Dispatcher::may_send(double taken, const std::function<bool()>& still_waits) {
+  const double now = clock_.now();
+  if (now - list_seen_ >= kListAge) {
+    list_seen_ = now;
+    list_.refresh();
+  }
+  return now - taken < kLateLook || still_waits();
 }
 
 void Dispatcher::perform(const Refuse& action) {
@@ -252,7 +271,7 @@
   });
 }
 
-void Dispatcher::perform(const WatchMembers&) { watch_(); }
+void Dispatcher::perform(const WatchMembers&) { list_.watch(); }
 
 void Dispatcher::perform(const LogLine& action) { std::clog << action.text << '\n'; }
 
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -30,18 +30,26 @@
 
 class Dispatcher {
  public:
-  using AnswerTo = std::function<void(Answer&&)>;
+  // Who asked: gets the one answer, and can be asked whether the caller still waits for it.
+  struct Asker {
+    std::function<void(Answer&&)> answer_to;
+    std::function<bool()> still_waits;
+  };
+  // The watch on the list of servers.
+  struct List {
+    std::function<void()> watch;    // asks discovery anew
+    std::function<void()> refresh;  // takes in, now, what discovery has said and nobody has read yet
+  };
 
-  // `watch` asks discovery anew.
   Dispatcher(boost::asio::io_context& io, const Clock& clock, const Settings& settings, std::uint64_t seed,
-             std::size_t max_open, Upstream& upstream, std::function<void()> watch);
+             std::size_t max_open, Upstream& upstream, List list);
 
   // The list that is known from before, if any, then the start.
   void start(const Membership& known);
   bool can_serve() const { return ready_ > 0; }
 
   // Takes a request whose client waits until `event.time_left` from now. The answer may come at once.
-  void take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to);
+  void take(Request event, std::shared_ptr<const HttpRequest> message, Asker asker);
   // Whether a request of this id is open, or has attempts out.
   bool holds(const std::string& id) const { return held_.contains(id); }
   void client_gone(const std::string& id);
@@ -51,9 +59,11 @@
  private:
   struct Held {
     std::shared_ptr<const HttpRequest> message;
-    bool repeatable = true;  // by its class
-    AnswerTo answer_to;      // empty once the final answer is out, or nobody waits for it
-    double until = 0;        // when attempts end, a margin before the client gives up
+    bool repeatable = true;                   // by its class
+    std::function<void(Answer&&)> answer_to;  // empty once the final answer is out, or nobody waits for it
+    std::shared_ptr<const std::function<bool()>> still_waits;  // shared with its attempts
+    double taken = 0;
+    double until = 0;  // when attempts end, a margin before the client gives up
     std::unique_ptr<boost::asio::steady_timer> guard;
     std::vector<Upstream::Handle> attempts;
     std::vector<bool> open;
@@ -63,8 +73,8 @@
 
   void happen(Event event);
   void handle(const Event& event);
-  void attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
-                     HttpResponse&& response);
+  void attempt_ended(const std::string& id, int attempt, double sent, Upstream::End&& end);
+  bool may_send(double taken, const std::function<bool()>& still_waits);
   void answer(Held& held, Answer&& answer);
   void settle(const std::string& id);
   void overdue(const std::string& id);
@@ -86,7 +96,8 @@
   double busy_retry_after_;
   std::vector<Effect> effects_;  // by class
   Upstream& upstream_;
-  std::function<void()> watch_;
+  List list_;
+  double list_seen_ = 0;  // when the list was last brought up to date
   std::unordered_map<std::string, Held> held_;
   std::unordered_map<std::string, bool> ready_by_name_;
   std::size_t ready_ = 0;
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -14,6 +14,8 @@
 #include <string_view>
 #include <utility>
 
+#include "arrival.h"
+
 namespace thymewood::node {
 
 namespace asio = boost::asio;
@@ -269,6 +271,11 @@
       return reject({http::status::bad_request, "X-Request-ID is that of an open request"}, false);
     }
     proven_ = true;
+    // Danger: a request's time counts from its last byte. While the node was away, or its connection lay in
+    // the listener's queue, that time went by, and a caller that has given up must not make a server work.
+    const Arrival came = look_at(socket_.native_handle());
+    if (came.age >= kLateLook && came.peer_closed) return close();
+    event.time_left -= came.age;
     const auto message = std::make_shared<Message>(owner_->budget_);
     share_.keep(ahead_.capacity());  // the rest goes with the request
     if (!message->share.hold(kHeadCost + request_->body().capacity()))
@@ -289,11 +296,19 @@
     unlist();
     halt(timer_);
     owner_->dispatcher_.take(std::move(event), {message, &message->request},
-                             [weak = weak_from_this()](Answer&& answer) {
-                               if (const auto self = weak.lock()) self->answer(std::move(answer));
-                             });
+                             {[weak = weak_from_this()](Answer&& answer) {
+                                if (const auto self = weak.lock()) self->answer(std::move(answer));
+                              },
+                              [weak = weak_from_this()] {
+                                const auto self = weak.lock();
+                                return self && self->still_waits();
+                              }});
   }
 
+  // Whether its caller is there, as far as the kernel knows: the read that would tell may not have had its
+  // turn.
+  bool still_waits() { return state_ == State::kWaiting && !look_at(socket_.native_handle()).peer_closed; }
+
   // ---------------------------------------------------------------- answers
 
   static HttpResponse plain(http::status status, const std::string& text) {
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -98,7 +98,7 @@
   discovery.set_index(config.known.index);
   try {
     node::Dispatcher dispatcher(io, clock, settings, config.seed, config.max_open, upstream,
-                                [&discovery] { discovery.watch(); });
+                                {[&discovery] { discovery.watch(); }, [&discovery] { discovery.refresh(); }});
     to = &dispatcher;
     node::Frontend frontend(io, {shares.clients, shares.overflow, settings.max_retry_after / 2},
                             {config.class_names, config.tenant_names, settings.classes}, budget, dispatcher);
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -15,6 +15,8 @@
 #include <utility>
 #include <vector>
 
+#include "arrival.h"
+
 namespace thymewood::node {
 
 namespace asio = boost::asio;
@@ -92,10 +94,10 @@
 
 class Upstream::Attempt {
  public:
-  Attempt(asio::io_context& io, Budget& budget, Report to)
-      : timer(io), report(std::move(to)), share(budget) {}
+  Attempt(asio::io_context& io, Budget& budget, Sender from)
+      : timer(io), sender(std::move(from)), share(budget) {}
   asio::steady_timer timer;
-  Report report;
+  Sender sender;
   std::shared_ptr<const HttpRequest> request;
   Clock::Steady::time_point until;
   std::string wire;  // the request as it is sent; empty again once it is out
@@ -154,8 +156,8 @@
 }
 
 Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const HttpRequest>& request,
-                                 double timeout, bool repeatable, Report report) {
-  const auto attempt = std::make_shared<Attempt>(io_, budget_, std::move(report));
+                                 double timeout, bool repeatable, Sender sender) {
+  const auto attempt = std::make_shared<Attempt>(io_, budget_, std::move(sender));
   const auto at = pools_.find(server);
   if (at == pools_.end() || !(timeout > 0)) {
     end_later(attempt, Outcome::kNotSent);
@@ -380,7 +382,13 @@
 void Upstream::Attempt::begin(Upstream& owner, const std::shared_ptr<Attempt>& self,
                               std::shared_ptr<Connection> on) {
   connection = std::move(on);
+  // Danger: the connection may have come up, or rested, while this node was away. By now the time may be
+  // over, the caller gone, or the server drained, and timers and reads that would have told may have their
+  // turn after this.
+  const bool may = sender.may_send();
   begun = Clock::Steady::now();
+  if (!may || !pool->usable || connection->process != pool->process || begun >= until)
+    return owner.end_later(self, Outcome::kNotSent);
   if (std::exchange(connection->used, true)) idle = seconds_of(begun - connection->rested);
   HttpRequest head;
   head.base() = request->base();
@@ -488,17 +496,22 @@
     const auto at = std::find(waiting.begin(), waiting.end(), attempt);
     if (at != waiting.end()) waiting.erase(at);
   }
+  End end;
+  end.outcome = outcome;
   if (const std::shared_ptr<Connection> connection = std::exchange(attempt->connection, nullptr)) {
+    if (attempt->parser && attempt->parser->is_done()) {
+      const double age = look_at(connection->socket.native_handle()).age;
+      end.unread = age >= kLateLook ? age : 0;
+    }
     if (keep) {
       release(connection, false);
     } else {
       drop(connection);
     }
   }
-  HttpResponse answer;
-  if (outcome == Outcome::kDelivered) answer = attempt->parser->release();
-  const Report report = std::move(attempt->report);
-  report(outcome, std::move(answer));
+  if (outcome == Outcome::kDelivered) end.response = attempt->parser->release();
+  const Sender sender = std::move(attempt->sender);
+  sender.report(std::move(end));
 }
 
 }  // namespace thymewood::node
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -25,8 +25,18 @@
     double idle_close = 0;            // a server may close a connection that has stood idle this long
     std::size_t max_connections = 0;  // over all servers
   };
-  // How an attempt ended; the answer is there with kDelivered alone.
-  using Report = std::function<void(Outcome, HttpResponse&&)>;
+  // How an attempt ended.
+  struct End {
+    Outcome outcome = Outcome::kUnknown;
+    HttpResponse response;  // with kDelivered alone
+    double unread = 0;  // s that the answer had lain there before this node came to it; 0: it was not away
+  };
+  struct Sender {
+    // Asked right before the first byte, which may be long after start(): whether it is still to be sent. It
+    // may place and retire servers.
+    std::function<bool()> may_send;
+    std::function<void(End&&)> report;
+  };
 
   class Attempt;
   using Handle = std::weak_ptr<Attempt>;
@@ -44,9 +54,10 @@
   void retire(const std::string& server);
 
   // Sends a request, once, and reports exactly once, never from within this call. One that is not
-  // `repeatable` is kept off connections that may have been dropped while they were idle.
+  // `repeatable` is kept off connections that may have been dropped while they were idle. One whose time is
+  // over before its first byte, or that may not be sent by then, ends as kNotSent.
   Handle start(const std::string& server, const std::shared_ptr<const HttpRequest>& request, double timeout,
-               bool repeatable, Report report);
+               bool repeatable, Sender sender);
   // Closes the attempt's connection; it is reported as kCancelled, unless its end is on its way already.
   void cancel(const Handle& attempt);
 
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -459,6 +459,13 @@
     return out.str();
   }
   void signal(int number) const { ::kill(pid_, number); }
+  // As proc(5) has it: R runs, S sleeps, T is stopped; 0 where it is gone.
+  char state() const {
+    std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
+    const std::string text((std::istreambuf_iterator<char>(in)), {});
+    const std::size_t name_end = text.rfind(')');
+    return name_end == std::string::npos ? '\0' : text[name_end + 2];
+  }
   void reload(const std::string& config) const {
     std::ofstream(base_ + ".new") << config;  // replaced whole, as a deployment does it
     std::rename((base_ + ".new").c_str(), (base_ + ".json").c_str());
