Answer the caller taken in on the spare descriptor; count only long stalls as absence

Ruled out: eviction (it closes idle connections alone). At fault: frontend.cpp, accept_failed() took one in on the spare descriptor and closed it without a word, though what it had written was taken. Change: it becomes a session that is turned away, with 0.3 s to ask, and the spare is taken again when one ends. The test holds six calls and answers three more 503 with Retry-After.

Also: the time that an answer lay unread is taken off only from 0.25 s on.

--- a/node/arrival.h
+++ b/node/arrival.h
@@ -21,6 +21,10 @@
 // s. Younger than this, all is as usual: the loop was busy for a moment. From here on the node was late, and
 // what it holds may be over: it looks whether the peer still waits.
 constexpr double kLateLook = 0.020;
+// s. An answer that lay unread for longer was found by a node that had been stopped. Danger: a node that is
+// merely short of its core has to learn how long answers take it, its own stalls included, for its time-outs
+// stall with it.
+constexpr double kAway = 0.25;
 
 // One system call. Of data that came in several pieces, the age is the last one's.
 inline Arrival look_at(int socket) {
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -28,6 +28,7 @@
 // s; from the connection to the last byte of its first request. Who has not asked by then is told so or
 // closed on within 3 s.
 constexpr double kFirstWait = 2.5;
+constexpr double kSpareWait = 0.3;   // s; the same on the spare descriptor, for which others wait
 constexpr double kReadWait = 2.5;    // s; from the first byte of a later request to its last
 constexpr double kIdleWait = 10;     // s; between requests
 constexpr double kErrorPause = 0.1;  // s; after an error of the caller's, before the next request is read
@@ -77,8 +78,8 @@
         turned_away_(turned_away),
         share_(owner.budget_) {}
 
-  void start() {
-    allow(kFirstWait);
+  void start(double patience) {
+    allow(patience);
     next_request();
   }
   // Takes it off the list of those that may be closed for others.
@@ -444,7 +445,8 @@
 }
 
 // Guards against running out of descriptors: a listener that stays readable with nothing accepted would spin,
-// and clients in its queue would wait in vain. The spare descriptor takes one in, to be told so.
+// and clients in its queue would wait in vain. The spare descriptor takes one in at a time, to be told so:
+// what it has asked is taken, and is owed an answer.
 void Frontend::accept_failed() {
   evict();
   if (spare_ >= 0) {
@@ -453,10 +455,11 @@
     tcp::socket socket(io_);
     acceptor_.non_blocking(true, bad);
     acceptor_.accept(socket, bad);
-    if (!bad) {
-      socket.close(bad);
+    if (bad) {
+      keep_spare();
+    } else {
+      admit(std::move(socket), true, kSpareWait);
     }
-    spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
   }
   timer_.expires_after(Clock::span(kAcceptPause));
   timer_.async_wait([this](error_code cancelled) {
@@ -464,13 +467,21 @@
   });
 }
 
+void Frontend::keep_spare() {
+  if (spare_ < 0) spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+}
+
 void Frontend::admit(tcp::socket socket) {
   const bool full = sessions_.size() >= limits_.most && !evict();
+  admit(std::move(socket), full, kFirstWait);
+}
+
+void Frontend::admit(tcp::socket socket, bool full, double patience) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   const auto session = std::make_shared<Session>(*this, std::move(socket), full);
   session->at = sessions_.insert(sessions_.end(), session);
-  session->start();
+  session->start(patience);
 }
 
 // Danger: by idle time alone, hundreds of connections that say nothing push out the callers that wait between
@@ -489,6 +500,7 @@
 
 void Frontend::ended(Session& session) {
   sessions_.erase(session.at);
+  keep_spare();
   end_if_drained();
   accept();
 }
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -47,6 +47,8 @@
   void accept();
   void accept_failed();
   void admit(boost::asio::ip::tcp::socket socket);
+  void admit(boost::asio::ip::tcp::socket socket, bool full, double patience);
+  void keep_spare();
   bool evict();
   void ended(Session& session);
   void stop_accepting();
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -501,7 +501,7 @@
   if (const std::shared_ptr<Connection> connection = std::exchange(attempt->connection, nullptr)) {
     if (attempt->parser && attempt->parser->is_done()) {
       const double age = look_at(connection->socket.native_handle()).age;
-      end.unread = age >= kLateLook ? age : 0;
+      end.unread = age >= kAway ? age : 0;
     }
     if (keep) {
       release(connection, false);
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -459,6 +459,13 @@
     return out.str();
   }
   void signal(int number) const { ::kill(pid_, number); }
+  // So many descriptors from now on; those that are open stay.
+  void limit_descriptors(rlim_t most) const {
+    rlimit limit{};
+    ::prlimit(pid_, RLIMIT_NOFILE, nullptr, &limit);
+    limit.rlim_cur = most;
+    ::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
+  }
   // As proc(5) has it: R runs, S sleeps, T is stopped; 0 where it is gone.
   char state() const {
     std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -54,6 +54,45 @@
   EXPECT_EQ(status_of(usual.read_message()), 200) << "its connection is still there";
 }
 
+// Guards against requests that were taken and dropped: with no descriptor left for its connection, a caller
+// was closed on without a word.
+TEST(Descriptors, ACallerForWhomThereIsNoneIsToldSo) {
+  Gate gate;
+  const FakeServer::Reply hold = [&](Wire& wire, const std::string&) {
+    return gate.wait() && wire.write(http_answer(200, "ok"));
+  };
+  FakeServer one(hold), two(hold), three(hold), four(hold), five(hold), six(hold);
+  std::vector<FakeServer*> servers{&one, &two, &three, &four, &five, &six};
+  Deployment d(servers);
+  std::vector<Wire> held;
+  for (int i = 0; i < 6; ++i) {
+    held.push_back(d.client());
+    held.back().write(Ask{.id = "held" + std::to_string(i)}.text());
+  }
+  ASSERT_TRUE(eventually([&] {
+    std::size_t there = 0;
+    for (FakeServer* server : servers) there += server->requests().size();
+    return there == 6;
+  }));
+  d.program->limit_descriptors(16);  // fewer than these calls hold, and none of them can be closed for others
+  std::vector<Wire> late;
+  for (int i = 0; i < 3; ++i) {
+    late.push_back(d.client());
+    late.back().write(Ask{.id = "late" + std::to_string(i)}.text());
+  }
+  for (Wire& caller : late) {
+    const std::string answer = caller.read_message();
+    EXPECT_EQ(status_of(answer), 503);
+    EXPECT_NE(field_of(answer, "Retry-After"), "");
+  }
+  gate.open();
+  for (Wire& caller : held) EXPECT_EQ(status_of(caller.read_message()), 200);
+  d.program->limit_descriptors(256);
+  Wire again = d.client();
+  again.write(Ask{.id = "again"}.text());
+  EXPECT_EQ(status_of(again.read_message()), 200);
+}
+
 TEST(BadClients, ErrorsAreAnsweredOneByOneAndTheConnectionStays) {
   FakeServer server(replies(200, "ok"));
   Deployment d({&server});
