Take off a request's time only what its margin does not hold; look at late answers alone

At fault: frontend.cpp took off what kMargin of the dispatcher holds already (20 ms of a loop that runs late), so that attempts ended twice as early as need be on nodes short of their core; upstream.cpp asked the kernel for the age of answers that came at once.

Change: the first 20 ms of age stay in the margin; an answer's age is asked from 0.25 s after its request on.

--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -276,7 +276,8 @@
     // the listener's queue, that time went by, and a caller that has given up must not make a server work.
     const Arrival came = look_at(socket_.native_handle());
     if (came.age >= kLateLook && came.peer_closed) return close();
-    event.time_left -= came.age;
+    // So much of it lies in the margins that every request has (kMargin of the dispatcher).
+    event.time_left -= std::max(0.0, came.age - kLateLook);
     const auto message = std::make_shared<Message>(owner_->budget_);
     share_.keep(ahead_.capacity());  // the rest goes with the request
     if (!message->share.hold(kHeadCost + request_->body().capacity()))
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -499,7 +499,9 @@
   End end;
   end.outcome = outcome;
   if (const std::shared_ptr<Connection> connection = std::exchange(attempt->connection, nullptr)) {
-    if (attempt->parser && attempt->parser->is_done()) {
+    // An answer that came soon can't have lain there for long: most are spared the look.
+    const bool long_ago = seconds_of(Clock::Steady::now() - attempt->begun) >= kAway;
+    if (long_ago && attempt->parser && attempt->parser->is_done()) {
       const double age = look_at(connection->socket.native_handle()).age;
       end.unread = age >= kAway ? age : 0;
     }
