Fail disks and shift clocks by a shim; callers who come again in the virtual player

Need: disks that fail, tear, lie or are slow and clocks that stand wrong can't be had from the kernel without rights; and overload feeds itself by callers who come again, whom the virtual player did not have.

The player in virtual time has [clients] (retries, try_share, wait_ms, honour) and prints tries and attempts for each thing wanted; a want counts once, from when it was first due. bench/rig starts its nodes as machines of the fleet rig, so one way is left.

--- a/bench/model/fleet_tables.h
+++ b/bench/model/fleet_tables.h
@@ -38,6 +38,9 @@
     kStarve,       // gets `share` of a core
     kDescriptors,  // may hold no more than `count`
     kDiskFull,     // what it writes to files fails
+    kDiskFails,    // `share` of its writes to files, and all syncs, fail
+    kDiskSlow,     // each write and sync takes `delay` longer
+    kClock,        // its time of day is wrong by `shift`
     // of links
     kCut,       // black hole, both ways
     kCutTo,     // black hole from `who` to `to` alone
@@ -56,6 +59,7 @@
   double share = 0.1;  // kStarve, kLoss
   double delay = 0, jitter = 0;
   double rate = 0;
+  double shift = 0;    // s; kClock
   int count = 64;      // kDescriptors
   double flap = 0;     // s; on and off in turn, each for so long, until `lasts` is over
   double stagger = 0;  // s; one after another of `who`, so far apart
--- a/bench/model/scenario.h
+++ b/bench/model/scenario.h
@@ -108,7 +108,8 @@
   Chain chain;
   std::vector<ScenarioServer> backends;  // the second tier
   DiscoveryTold discovery;
-  bool peers = false;  // nodes may send each other datagrams
+  bool peers = false;      // nodes may send each other datagrams
+  std::string clients_at;  // "FILE:LINE: [clients]", where there is one
   // "FILE:LINE: TABLE", one for each table above that the file holds.
   std::vector<std::string> fleet_only;
 
--- a/bench/model/scenario_file.cpp
+++ b/bench/model/scenario_file.cpp
@@ -221,6 +221,9 @@
     {"starve", Fault::What::kStarve},
     {"descriptors", Fault::What::kDescriptors},
     {"disk_full", Fault::What::kDiskFull},
+    {"disk_fails", Fault::What::kDiskFails},
+    {"disk_slow", Fault::What::kDiskSlow},
+    {"clock", Fault::What::kClock},
     {"cut", Fault::What::kCut},
     {"cut_to", Fault::What::kCutTo},
     {"delay", Fault::What::kDelay},
@@ -232,8 +235,20 @@
     {"lag", Fault::What::kLag}};
 
 bool is_of_machines(Fault::What what) {
-  return what == Fault::What::kKill || what == Fault::What::kRestart || what == Fault::What::kPause ||
-         what == Fault::What::kStarve || what == Fault::What::kDescriptors || what == Fault::What::kDiskFull;
+  switch (what) {
+    case Fault::What::kKill:
+    case Fault::What::kRestart:
+    case Fault::What::kPause:
+    case Fault::What::kStarve:
+    case Fault::What::kDescriptors:
+    case Fault::What::kDiskFull:
+    case Fault::What::kDiskFails:
+    case Fault::What::kDiskSlow:
+    case Fault::What::kClock:
+      return true;
+    default:
+      return false;
+  }
 }
 
 bool is_of_discovery(Fault::What what) { return what == Fault::What::kSilence || what == Fault::What::kLag; }
@@ -261,6 +276,8 @@
   if (f.what == Fault::What::kSlowLink && f.rate <= 0) t.wrong("'rate' is in bytes a second, above 0");
   if (f.what == Fault::What::kStarve && (f.share <= 0 || f.share >= 1))
     t.wrong("'share' lies between 0 and 1");
+  constexpr double kYear = 3.2e10;  // ms
+  f.shift = t.number("shift_ms", 0, -kYear, kYear) / 1000;
   f.count = t.whole("count", f.count, 8, 1000000);
   f.flap = t.number("flap", 0);
   if (f.flap > 0 && !std::isfinite(f.lasts)) t.wrong("'flap' needs 'lasts'");
@@ -285,7 +302,8 @@
   if (!s.node_zones.empty() && t.has("copies")) t.wrong("there are both 'copies' and [[node]]");
   if (!s.node_zones.empty()) s.copies = static_cast<int>(s.node_zones.size());
   if (std::optional<Reader> c = t.table("clients")) {
-    note(*c, "[clients]");
+    s.clients_at = c->place() + ": [clients]";
+    if (c->has("impatient") || c->has("notice_s")) note(*c, "[clients] impatient and notice_s");
     s.clients.retries = c->whole("retries", 0, 0, 100);
     s.clients.try_share = c->number("try_share", 1, 0.01, 1);
     s.clients.wait = c->ms("wait_ms", 0);
--- a/bench/rig/node_process.h
+++ b/bench/rig/node_process.h
@@ -1,12 +1,13 @@
-// A node as a child process, with a configuration written for a scenario. The process ends with the object.
+// A node as a machine of the fleet rig, with a configuration for a scenario whose servers it knows from the
+// start. The process ends with the object.
 #pragma once
 
-#include <sys/types.h>
-
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "machine.h"
 #include "scenario.h"
 
 namespace thymewood::bench {
@@ -14,21 +15,19 @@
 class NodeProcess {
  public:
   // Starts `program` as the copy of that number, told of servers on these ports of 127.0.0.1, and waits until
-  // it listens. Its configuration and log go to `folder`. Throws std::runtime_error when it does not come up.
+  // it listens. Its configuration and log go to a folder of its own in `folder`. Throws std::runtime_error
+  // when it does not come up.
   NodeProcess(const std::string& program, const std::string& folder, const Scenario& scenario, int copy,
               const std::vector<std::uint16_t>& servers);
-  ~NodeProcess();
-  NodeProcess(const NodeProcess&) = delete;
-  NodeProcess& operator=(const NodeProcess&) = delete;
 
   std::uint16_t port() const { return port_; }
   // Whether it still runs.
-  bool alive();
+  bool alive() { return machine_.running(); }
   // CPU seconds that it has used so far; 0 where the system does not tell.
-  double cpu_seconds() const;
+  double cpu_seconds() const { return machine_.usage().cpu_s; }
 
  private:
-  pid_t pid_ = -1;
+  fleet::Machine machine_;
   std::uint16_t port_ = 0;
 };
 
--- a/bench/rig/run.cpp
+++ b/bench/rig/run.cpp
@@ -26,6 +26,7 @@
     if (c.what != Change::What::kSlow)
       throw std::runtime_error(s.name + ": drains, stops and starts are not played on sockets yet");
   }
+  if (!s.clients_at.empty()) throw std::runtime_error(s.clients_at + " is not played by this rig");
   if (!s.fleet_only.empty()) throw std::runtime_error(s.fleet_only.front() + " is played by thymewood_fleet");
   if (!s.tenants.empty()) throw std::runtime_error(s.name + ": tenants are not played on sockets yet");
 }
--- a/bench/virtual/main.cpp
+++ b/bench/virtual/main.cpp
@@ -13,12 +13,13 @@
 constexpr double kPercent = 100, kMilli = 1000;
 
 void print_row(const std::string& name, const char* front, double times, const Report& r) {
-  std::printf("%-28s %-6s %5.2f %10.0f %9.4f %8.3f %8.3f %8.3f %9.2f %9.2f %9.2f %7.2f %6llu\n", name.c_str(),
-              front, times, r.offered, r.kept(), kPercent * r.unsent_share(),
+  std::printf("%-28s %-6s %5.2f %10.0f %9.4f %8.3f %8.3f %8.3f %9.2f %9.2f %9.2f %7.2f %6.3f %6.3f %6llu\n",
+              name.c_str(), front, times, r.offered, r.kept(), kPercent * r.unsent_share(),
               r.offered > 0 ? kPercent * (r.refused - r.unsent) / r.offered : 0,
               r.offered > 0 ? kPercent * r.failed / r.offered : 0, kMilli * r.latency.quantile(0.5),
               kMilli * r.latency.quantile(0.99), kMilli * r.latency.quantile(0.999),
-              r.work > 0 ? kPercent * r.wasted / r.work : 0, static_cast<unsigned long long>(r.broken));
+              r.work > 0 ? kPercent * r.wasted / r.work : 0, r.offered > 0 ? r.tries / r.offered : 0,
+              r.amplification(), static_cast<unsigned long long>(r.broken));
 }
 
 void write_series(const std::string& path, const Report& r) {
@@ -42,9 +43,9 @@
   app.add_flag("--oracle", oracle, "beside each run, a front that knows what every server can do and holds");
   app.add_flag("--log", talk, "print what the copies log and which rules were broken");
   CLI11_PARSE(app, argc, argv);
-  std::printf("%-28s %-6s %5s %10s %9s %8s %8s %8s %9s %9s %9s %7s %6s\n", "scenario", "front", "load",
-              "offered", "kept", "unsent%", "refus%", "failed%", "p50 ms", "p99 ms", "p999 ms", "waste%",
-              "broken");
+  std::printf("%-28s %-6s %5s %10s %9s %8s %8s %8s %9s %9s %9s %7s %6s %6s %6s\n", "scenario", "front",
+              "load", "offered", "kept", "unsent%", "refus%", "failed%", "p50 ms", "p99 ms", "p999 ms",
+              "waste%", "tries", "att", "broken");
   bool broken = false;
   for (const std::string& file : options.files) {
     for (const double by : options.times) {
--- a/bench/virtual/player.cpp
+++ b/bench/virtual/player.cpp
@@ -18,6 +18,7 @@
 
 constexpr double kForever = std::numeric_limits<double>::infinity();
 constexpr double kNetJitter = 0.2;    // of a one-way delay, at most; or all would go in step
+constexpr double kLeastTry = 0.01;    // s; no try is begun with less left
 constexpr std::size_t kMostLog = 20;  // lines
 constexpr double kAfterwards = 60;    // s; after the scenario's end, for what is still under way
 
@@ -152,6 +153,9 @@
       case Event::Kind::kUp:
         start_copy(static_cast<int>(e.what));
         break;
+      case Event::Kind::kComesAgain:
+        come_again(e.what);
+        break;
       case Event::Kind::kSecond:
         end_second(report_.seconds[e.what]);
         break;
@@ -179,18 +183,54 @@
     r.tenant = draw_by_share(scenario_.tenants);
     r.caller = caller;
     r.copy = copy;
-    r.due = now_;
+    r.due = r.wanted = now_;
     ++owed_;
     count(r, &Second::offered, &Report::offered);
     push(now_ + travel(), Event::Kind::kAtNode, at);
   }
 
+  // How long a try may take: a part of the class's time, and no more than is left of it.
+  double time_of_try(const OneRequest& r) const {
+    const double all = scenario_.classes[r.request_class].told.give_up;
+    return std::min(scenario_.clients.try_share * all, r.wanted + all - r.due);
+  }
+
+  // Whether one that was not served is asked for again, by a new try. It belongs to its first: nothing is
+  // counted.
+  bool tries_again(const OneRequest& r, double back, double advised) {
+    if (r.tries > scenario_.clients.retries) return false;
+    const double then = back + std::max(scenario_.clients.wait, scenario_.clients.honour ? advised : 0);
+    if (then + kLeastTry > r.wanted + scenario_.classes[r.request_class].told.give_up) return false;
+    const std::size_t at = again_.take();
+    again_[at] = r;
+    ++owed_;
+    push(then, Event::Kind::kComesAgain, at);
+    return true;
+  }
+
+  void come_again(std::size_t from) {
+    const std::size_t at = requests_.take();
+    OneRequest& r = requests_[at];
+    const OneRequest before = again_[from];
+    again_.give_back(from);
+    r.id = "r" + std::to_string(++begun_);
+    r.request_class = before.request_class;
+    r.tenant = before.tenant;
+    r.caller = before.caller;
+    r.copy = before.caller == kNone ? static_cast<int>(random_.below(copies_.size())) : before.copy;
+    r.due = now_;
+    r.wanted = before.wanted;
+    r.tries = before.tries + 1;
+    push(now_ + travel(), Event::Kind::kAtNode, at);
+  }
+
   void at_node(std::size_t at) {
     OneRequest& r = requests_[at];
     if (front_ == Front::kModule && !find_copy(r)) return fail_unheard(at);
-    const RequestClass& c = scenario_.classes[r.request_class].told;
-    r.until = r.due + c.give_up - 2 * scenario_.net;  // the answer has its way back before it
-    rules_.taken(now_, r.id, r.request_class, r.due + c.give_up);
+    const double time = time_of_try(r);
+    r.until = r.due + time - 2 * scenario_.net;  // the answer has its way back before it
+    rules_.taken(now_, r.id, r.request_class, r.due + time);
+    if (scenario_.counts_at(r.wanted)) report_.tries += 1;
     if (front_ == Front::kDirect) {
       do next_ = (next_ + 1) % servers_.size();
       while (!up_[next_]);
@@ -222,6 +262,7 @@
     OneRequest& r = requests_[at];
     r.over = true;
     --owed_;
+    if (tries_again(r, now_ + scenario_.net, 0)) return free_if_over(at);
     count(r, &Second::failed, &Report::failed);
     if (r.caller != kNone)
       push(now_ + scenario_.net + callers_[r.caller].group->think, Event::Kind::kCallerAsks, r.caller);
@@ -259,6 +300,7 @@
   void send(std::size_t request, std::size_t server, double timeout) {
     OneRequest& r = requests_[request];
     rules_.sent(now_, r.id, r.copy, server);
+    if (scenario_.counts_at(r.wanted)) report_.attempts += 1;
     const std::size_t at = attempts_.take();
     OneAttempt& a = attempts_[at];
     a.request = request;
@@ -362,11 +404,12 @@
     --owed_;
     const double back = now_ + scenario_.net;
     rules_.answered(back, r.id, how);
+    if (how != Final::kServed && tries_again(r, back, retry_after)) return;
     if (how == Final::kServed) {
       count(r, &Second::served, &Report::served);
-      if (back <= r.due + scenario_.classes[r.request_class].told.aim)
+      if (back <= r.wanted + scenario_.classes[r.request_class].told.aim)
         count(r, &Second::in_time, &Report::in_time);
-      if (scenario_.counts_at(r.due)) report_.latency.add(back - r.due);
+      if (scenario_.counts_at(r.wanted)) report_.latency.add(back - r.wanted);
     } else if (how == Final::kRefused) {
       count(r, &Second::refused, &Report::refused);
       if (r.attempts.empty()) count(r, &Second::unsent, &Report::unsent);
@@ -382,9 +425,9 @@
   }
 
   void count(const OneRequest& r, double Second::*second, double Report::*all) {
-    const auto at = static_cast<std::size_t>(r.due);
+    const auto at = static_cast<std::size_t>(r.wanted);
     if (at < report_.seconds.size()) report_.seconds[at].*second += 1;
-    if (scenario_.counts_at(r.due)) report_.*all += 1;
+    if (scenario_.counts_at(r.wanted)) report_.*all += 1;
   }
 
   // Work is spent when it ends, whoever still waits for it.
@@ -393,7 +436,7 @@
     const OneRequest& r = requests_[a.request];
     report_.work += a.work;
     const bool of_use = !a.ended && !r.over &&
-                        now_ + 2 * scenario_.net <= r.due + scenario_.classes[r.request_class].told.aim;
+                        now_ + 2 * scenario_.net <= r.wanted + scenario_.classes[r.request_class].told.aim;
     if (!of_use) report_.wasted += a.work;
   }
 
@@ -548,6 +591,7 @@
   std::vector<std::unique_ptr<Balancer>> copies_;
   std::vector<OneCaller> callers_;
   Slots<OneRequest> requests_;
+  Slots<OneRequest> again_;  // tries that were not served, until they come again
   Slots<OneAttempt> attempts_;
   std::unordered_map<std::string, std::size_t> by_id_;
   Report report_;
--- a/bench/virtual/records.h
+++ b/bench/virtual/records.h
@@ -26,6 +26,7 @@
     kChange,
     kTold,
     kUp,
+    kComesAgain,  // a caller whose try was not served
     kSecond
   };
   double at = 0;
@@ -50,7 +51,9 @@
   std::string id;
   std::size_t request_class = 0, tenant = 0, caller = kNone;
   int copy = 0, attempts_open = 0;
-  double due = 0, until = 0;
+  double due = 0, until = 0;  // due: of this try
+  double wanted = 0;          // when the first try was due
+  int tries = 1;
   bool over = false;  // it has its final answer
   std::vector<std::size_t> attempts;
 };
--- a/fleet_rig/machine/machine.cpp
+++ b/fleet_rig/machine/machine.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/mman.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -11,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <new>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -54,10 +56,37 @@
 
 }  // namespace
 
+FaultsFile::FaultsFile(std::string path) : path_(std::move(path)) {
+  const int fd = ::open(path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  void* at = MAP_FAILED;
+  if (fd >= 0 && ::ftruncate(fd, sizeof(FaultPlan)) == 0)
+    at = ::mmap(nullptr, sizeof(FaultPlan), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  if (fd >= 0) ::close(fd);
+  if (at == MAP_FAILED) throw std::runtime_error(path_ + ": no plan of faults can be kept there");
+  plan_ = new (at) FaultPlan;
+  path_ = fs::absolute(path_);
+}
+
+FaultsFile::~FaultsFile() {
+  ::munmap(plan_, sizeof(FaultPlan));
+  std::error_code ignored;
+  fs::remove(path_, ignored);
+}
+
+std::vector<std::string> FaultsFile::environment(const std::string& shim) const {
+  // The last is for programs that are built with the address sanitizer: it wants to be first.
+  return {std::string("LD_PRELOAD=") + shim, std::string(kFaultsVariable) + "=" + path_,
+          "ASAN_OPTIONS=verify_asan_link_order=0"};
+}
+
 Machine::Machine(Options options) : options_(std::move(options)) {
   fs::create_directories(options_.folder);
   options_.folder = fs::absolute(options_.folder);
   options_.program = fs::absolute(options_.program);
+  if (options_.shim.empty()) return;
+  faults_ = std::make_unique<FaultsFile>(options_.folder + ".faults");  // beside the disk, which may be wiped
+  for (std::string& variable : faults_->environment(fs::absolute(options_.shim)))
+    options_.environment.push_back(std::move(variable));
 }
 
 Machine::~Machine() { kill(); }
--- a/fleet_rig/machine/machine.h
+++ b/fleet_rig/machine/machine.h
@@ -10,11 +10,32 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "fault_plan.h"
+
 namespace thymewood::fleet {
 
+// A plan of faults in a file that the shim of a process maps too. The file is removed with the object.
+class FaultsFile {
+ public:
+  // Throws std::runtime_error when it can't be made.
+  explicit FaultsFile(std::string path);
+  ~FaultsFile();
+  FaultsFile(const FaultsFile&) = delete;
+  FaultsFile& operator=(const FaultsFile&) = delete;
+
+  FaultPlan& plan() const { return *plan_; }
+  // What a process has to be started with, for the shim at that path.
+  std::vector<std::string> environment(const std::string& shim) const;
+
+ private:
+  std::string path_;
+  FaultPlan* plan_ = nullptr;
+};
+
 class Machine {
  public:
   struct Options {
@@ -22,6 +43,7 @@
     std::string folder;  // made where it is missing; holds `log` and what the program writes
     std::vector<std::string> environment;  // "NAME=value"; nothing else is handed down but TMPDIR, the folder
     std::uint64_t descriptors = 0;         // RLIMIT_NOFILE from the start; 0: as here
+    std::string shim;                      // preloaded, see fleet_rig/shim; empty: none
   };
   // What proc(5) says of it; zeros where it is gone.
   struct Usage {
@@ -56,6 +78,9 @@
   void fill_disk(std::uint64_t bytes = 0) const;
   void clear_disk() const;
 
+  // What its files and its time of day suffer from; null without a shim.
+  FaultPlan* faults() const { return faults_ ? &faults_->plan() : nullptr; }
+
   // Whether its process is there; takes in how it ended where it has.
   bool running();
   bool paused() const { return paused_; }
@@ -73,6 +98,7 @@
   void reap(int status);
 
   Options options_;
+  std::unique_ptr<FaultsFile> faults_;
   pid_t pid_ = -1;
   int status_ = -1, starts_ = 0;
   bool paused_ = false, crashed_ = false, killing_ = false;
--- /dev/null
+++ b/fleet_rig/planted.py
@@ -0,0 +1,103 @@
+#!/usr/bin/env python3
+"""Plants one fault at a time in the node and plays a day on which a judge has to see it.
+
+    fleet_rig/planted.py BUILD [NAME ...]
+
+BUILD holds thymewood_fleet (cmake -DTHYMEWOOD_BUILD_BENCH=ON). Each fault is a replacement of a text that stands in its file
+once, so that it fails loudly when the code moves on. The node is built in a clone under a temporary folder; the
+sources here are not touched. Exit status 1 when a judge did not see one. Minutes: no part of CI.
+"""
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+
+# name, file, what stands there, what is planted, day, rule that has to be named (or 'FIGURE op value')
+PLANTED = [
+    ('lost_at_sigterm', 'node/main.cpp', 'if (!bad) frontend.drain([&io] { io.stop(); });', 'if (!bad) io.stop();',
+     'rolling', 'one-final-answer'),
+    ('drain_ignored', 'node/discovery.cpp', 'member.server.state = ServerState::kDraining;',
+     'member.server.state = ServerState::kReady;', 'lists_differ', 'drains-kept'),
+    ('unsafe_resent_after_reset', 'src/balance.cpp', 'return outcome == Outcome::kRejected ||',
+     'return outcome == Outcome::kReset || outcome == Outcome::kRejected ||', 'resets', 'no-double-effect'),
+    ('keyed_out_of_its_cell', 'src/balance.cpp',
+     'if (c.dedup_scope == DedupScope::kCell && t.cell != s.told.cell) return false;', '', 'all_fail',
+     'no-double-effect'),
+    ('refused_though_it_ran', 'node/dispatcher.cpp',
+     'answer(at->second, {Answer::Kind::kFailed, 0, {}});\n  settle(action.id);',
+     'answer(at->second, {Answer::Kind::kRefused, 0, {}});\n  settle(action.id);', 'all_fail', 'no-double-effect'),
+    ('every_200th_sent_twice', 'node/dispatcher.cpp', 'held.open.push_back(true);',
+     'static int n = 0;\n  if (++n % 200 == 0) upstream_.start(action.server, held.message, timeout, true, '
+     '{[] { return true; }, [](Upstream::End&&) {}});\n  held.open.push_back(true);', 'calm', 'no-double-effect'),
+    ('every_200th_never_answered', 'node/dispatcher.cpp', 'held.guard.reset();\n  answer_to(std::move(answer));',
+     'held.guard.reset();\n  static int n = 0;\n  if (++n % 200 != 0) answer_to(std::move(answer));', 'calm',
+     'one-final-answer'),
+    ('late_by_a_fifth_of_a_second', 'node/dispatcher.cpp', 'held_.size() >= max_open_',
+     'event.time_left += 0.25, held_.size() >= max_open_', 'zone_one_way', 'one-final-answer'),
+    ('callers_who_left', 'node/frontend.cpp',
+     'const Arrival came = look_at(socket_.native_handle());', 'const Arrival came;',
+     'paused', 'abandoned'),
+    ('closed_without_a_word', 'node/frontend.cpp', 'admit(std::move(socket), true, kSpareWait);', 'socket.close(bad);',
+     'scarce', 'one-final-answer'),
+    ('no_bound_for_cold_servers', 'src/balance.cpp', 'return s.cold_tokens >= 1;', 'return true;', 'cold_return',
+     'cold-servers'),
+    ('ends_at_the_300th', 'node/dispatcher.cpp', 'held.taken = now;',
+     'held.taken = now;\n  static int n = 0;\n  if (++n == 300) std::terminate();', 'calm', 'crash'),
+    ('no_bound_for_retries', 'src/balance.cpp', '(!budgeted || retry_tokens_ >= 1) &&', '', 'all_fail',
+     'tier1/tries > 1.5'),
+]
+
+
+def run(command, **more):
+    return subprocess.run(command, text=True, capture_output=True, **more)
+
+
+def main():
+    build = pathlib.Path(sys.argv[1])
+    wanted = set(sys.argv[2:])
+    top = pathlib.Path(__file__).resolve().parent.parent
+    scratch = pathlib.Path(tempfile.mkdtemp())
+    missed = 0
+    try:
+        run(['git', 'clone', '-q', str(top), str(scratch / 'src')], check=True)
+        run(['cmake', '-S', scratch / 'src', '-B', scratch / 'build', '-DCMAKE_BUILD_TYPE=Release',
+             '-DTHYMEWOOD_BUILD_ADAPTER=OFF'], check=True)
+        print('| planted | day | has to be seen | seen |\n| --- | --- | --- | --- |', flush=True)
+        for name, file, old, new, day, rule in PLANTED:
+            if wanted and name not in wanted:
+                continue
+            path = scratch / 'src' / file
+            text = path.read_text()
+            if text.count(old) != 1:
+                print(f'| {name} | {day} | {rule} | NOT PLANTED: its text stands {text.count(old)} times in {file} |')
+                missed += 1
+                continue
+            path.write_text(text.replace(old, new))
+            built = run(['cmake', '--build', scratch / 'build', '-j', '8', '--target', 'thymewood_program'])
+            if built.returncode != 0:
+                print(f'| {name} | {day} | {rule} | NOT BUILT |', built.stderr[-2000:])
+                missed += 1
+            else:
+                out = run([build / 'fleet_rig/thymewood_fleet', 'run', top / f'fleet_rig/days/{day}.toml', '--node',
+                           scratch / 'build/thymewood', '--logs', scratch / 'logs', '--quiet']).stdout
+                row = [line for line in out.splitlines() if line.startswith(day + ' ')]
+                if '>' in rule:
+                    cells = row[0].split() if row else []
+                    share = float(cells[9]) / float(cells[8]) if len(cells) > 9 else 0
+                    seen, what = share > float(rule.split('>')[1]), f'{share:.2f}'
+                else:
+                    found = re.search(re.escape(rule) + r': (.*)', out)
+                    seen, what = found is not None, (found.group(0) if found else 'nothing')
+                print(f'| {name} | {day} | {rule} | {what if seen else "NOT SEEN: " + what} |', flush=True)
+                missed += 0 if seen else 1
+            path.write_text(text)
+    finally:
+        shutil.rmtree(scratch, ignore_errors=True)
+    print(f'{missed} not seen')
+    return 1 if missed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/fleet_rig/run/fleet.cpp
+++ b/fleet_rig/run/fleet.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
 #include <cmath>
 #include <filesystem>
 #include <fstream>
@@ -58,6 +59,33 @@
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+// Loaded only where a day needs it: without it a node is as it is shipped.
+bool wants_shim(const bench::Scenario& scenario) {
+  return std::any_of(scenario.faults.begin(), scenario.faults.end(), [](const Fault& f) {
+    return f.what == Fault::What::kDiskFails || f.what == Fault::What::kDiskSlow ||
+           f.what == Fault::What::kClock;
+  });
+}
+
+// What the shim of a node does from now on; `on` false takes it back.
+void set_faults(FaultPlan& plan, const Fault& fault, bool on) {
+  switch (fault.what) {
+    case Fault::What::kDiskFails:
+      plan.write_every = fault.share > 0 ? static_cast<std::uint32_t>(std::lround(1 / fault.share)) : 0;
+      plan.write_errno = on ? EIO : 0;
+      plan.sync_errno = on ? EIO : 0;
+      break;
+    case Fault::What::kDiskSlow:
+      plan.delay_us = on ? static_cast<std::uint32_t>(fault.delay * 1e6) : 0;
+      break;
+    case Fault::What::kClock:
+      plan.clock_shift_ns = on ? static_cast<std::int64_t>(fault.shift * 1e9) : 0;
+      break;
+    default:
+      break;
+  }
+}
+
 std::string made(const std::string& folder) {
   std::filesystem::create_directories(folder);
   return folder;
@@ -90,7 +118,8 @@
     if (party.kind != PartyKind::kNode && party.kind != PartyKind::kInner) continue;
     Node& node = nodes_[party];
     const std::string folder = options_.folder + "/" + bench::name_of(party);
-    Machine::Options machine{options_.program, folder, options_.environment, 0};
+    Machine::Options machine{options_.program, folder, options_.environment, 0,
+                             wants_shim(scenario_) ? FLEET_SHIM : ""};
     machine.environment.push_back("RELAY_CONFIG=" + std::filesystem::absolute(folder).string() +
                                   "/config.json");
     node.machine = std::make_unique<Machine>(machine);
@@ -369,6 +398,7 @@
   for (const Party& party : step.who) {
     if (party.kind == PartyKind::kDiscovery) break;
     Node& node = nodes_.at(party);
+    if (FaultPlan* const plan = node.machine->faults()) set_faults(*plan, fault, true);
     switch (fault.what) {
       case Fault::What::kKill:
         if (node.wanted && party.kind == PartyKind::kNode)
@@ -417,6 +447,7 @@
   for (const Party& party : step.who) {
     if (party.kind == PartyKind::kDiscovery) break;
     Node& node = nodes_.at(party);
+    if (FaultPlan* const plan = node.machine->faults()) set_faults(*plan, fault, false);
     switch (fault.what) {
       case Fault::What::kKill:
         if (!node.wanted) start_node(party);
--- a/fleet_rig/run/node_config.cpp
+++ b/fleet_rig/run/node_config.cpp
@@ -60,8 +60,8 @@
   number(out, "overShareWorth", s.over_share_worth);
   out.Key("bounds");
   out.StartObject();
-  flag(out, "cancel", true);
-  flag(out, "secondCopies", true);
+  flag(out, "cancel", told.cancel);
+  flag(out, "secondCopies", told.second_copies);
   flag(out, "retryAfter", true);
   flag(out, "probes", false);
   flag(out, "peers", !told.peers.empty());
--- a/tests/checks.sh
+++ b/tests/checks.sh
@@ -26,9 +26,9 @@
       --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1"
     # Side by side, for each reads much of Boost. The path analyzer, which takes minutes on that, sees the module
     # and the adapter; over the node the sanitizers stand in.
-    { ls node/*.cpp; ls src/*.cpp json/*.cpp adapter/*.cpp bench/*/*.cpp; } |
+    { ls node/*.cpp; ls src/*.cpp json/*.cpp adapter/*.cpp bench/*/*.cpp fleet_rig/*/*.cpp; } |
       xargs -P "$(nproc)" -I{} sh -c 'case {} in node/*) less=--checks=-clang-analyzer-* ;; *) less= ;; esac
-        case {} in bench/rig/*) less="--checks=-clang-analyzer-* $coroutines" ;; esac
+        case {} in bench/rig/*|fleet_rig/*) less="--checks=-clang-analyzer-* $coroutines" ;; esac
         clang-tidy -p "$0" --quiet --warnings-as-errors="*" $less {}' "$scratch" ;;
   sanitizers)
     cmake -B "$scratch" -DCMAKE_BUILD_TYPE=Debug -DTHYMEWOOD_BUILD_TESTS=ON -DTHYMEWOOD_SANITIZE=ON \
--- a/tests/fleet_model_test.cpp
+++ b/tests/fleet_model_test.cpp
@@ -93,6 +93,7 @@
       {"[[fault]]\nwhat = \"pause\"\nwho = \"server:0\"\n", "meets nodes alone"},
       {"[[fault]]\nwhat = \"pause\"\nwho = \"zone:0\"\n", "meets nodes alone"},
       {"[[fault]]\nwhat = \"pause\"\nwho = \"node:0\"\nto = \"server:0\"\n", "'to' is for faults of links"},
+      {"[[fault]]\nwhat = \"clock\"\nwho = \"server:0\"\n", "meets nodes alone"},
       {"[[fault]]\nwhat = \"lag\"\nwho = \"node:0\"\n", "meets discovery alone"},
       {"[[fault]]\nwhat = \"slow_link\"\nwho = \"node:0\"\n", "bytes a second"},
       {"[[fault]]\nwhat = \"starve\"\nwho = \"node:0\"\nshare = 1\n", "between 0 and 1"},
@@ -112,7 +113,7 @@
 }
 
 TEST(FleetTables, ThePlayerInVirtualTimeNamesWhatItCanNotPlay) {
-  for (const char* text : {"[[fault]]\nwhat = \"kill\"\nwho = \"node:0\"\n", "[clients]\nretries = 1\n"}) {
+  for (const char* text : {"[[fault]]\nwhat = \"kill\"\nwho = \"node:0\"\n", "[clients]\nnotice_s = 1\n"}) {
     const Scenario s = bench::parse_scenario(
         "seconds = 1\n[[class]]\nname = \"c\"\n[[load]]\nrate = 5\n[[servers]]\ncount = 3\n" +
             std::string(text),
--- /dev/null
+++ b/tests/fleet_shim_test.cpp
@@ -0,0 +1,170 @@
+// The preloaded shim on a process of its own: each fault alone, on files alone, and no trace without a plan.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "fault_plan.h"
+#include "machine.h"
+
+namespace thymewood::fleet {
+namespace {
+
+class Shim : public testing::Test {
+ protected:
+  Shim()
+      : folder_(testing::TempDir() + "/shim_" + std::to_string(::getpid()) + "_" +
+                testing::UnitTest::GetInstance()->current_test_info()->name()),
+        faults_(folder_ + ".faults") {
+    std::filesystem::create_directories(folder_);
+    int in[2], out[2];
+    EXPECT_EQ(::pipe2(in, O_CLOEXEC), 0);
+    EXPECT_EQ(::pipe2(out, O_CLOEXEC), 0);
+    std::vector<std::string> variables = faults_.environment(FLEET_SHIM);
+    std::vector<char*> environment;
+    for (std::string& variable : variables) environment.push_back(variable.data());
+    environment.push_back(nullptr);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::dup2(in[0], STDIN_FILENO);
+      ::dup2(out[1], STDOUT_FILENO);
+      ::execle(SHIM_WORKER, SHIM_WORKER, folder_.c_str(), nullptr, environment.data());
+      ::_exit(127);
+    }
+    ::close(in[0]);
+    ::close(out[1]);
+    to_ = in[1];
+    from_ = ::fdopen(out[0], "r");
+  }
+  ~Shim() override {
+    ::close(to_);
+    std::fclose(from_);
+    ::waitpid(pid_, nullptr, 0);
+    std::filesystem::remove_all(folder_);
+  }
+  // What the process says to one word: the word, the result, and errno where it failed.
+  std::string ask(const std::string& word) {
+    const std::string line = word + "\n";
+    EXPECT_EQ(::write(to_, line.data(), line.size()), static_cast<ssize_t>(line.size()));
+    char room[256] = "";
+    EXPECT_NE(std::fgets(room, sizeof room, from_), nullptr);
+    std::string out = room;
+    return out.substr(0, out.find('\n'));
+  }
+  std::string failed(const std::string& word, int problem) { return word + " -1 " + std::to_string(problem); }
+  std::uintmax_t size() { return std::filesystem::file_size(folder_ + "/data"); }
+
+  std::string folder_;
+  FaultsFile faults_;
+  pid_t pid_ = -1;
+  int to_ = -1;
+  std::FILE* from_ = nullptr;
+};
+
+TEST_F(Shim, WithoutFaultsLeavesAllAsItIs) {
+  EXPECT_EQ(ask("write"), "write 10 0");
+  EXPECT_EQ(ask("writev"), "writev 10 0");
+  EXPECT_EQ(ask("fsync"), "fsync 0 0");
+  EXPECT_EQ(ask("fdatasync"), "fdatasync 0 0");
+  EXPECT_EQ(size(), 20u);
+  EXPECT_EQ(ask("rename"), "rename 0 0");
+  EXPECT_EQ(faults_.plan().writes, 3u) << "two pieces and one";
+  EXPECT_EQ(faults_.plan().syncs, 2u);
+  EXPECT_EQ(faults_.plan().renames, 1u);
+}
+
+TEST_F(Shim, FailsWritesToFilesAloneAndAsOftenAsItIsTold) {
+  faults_.plan().write_errno = ENOSPC;
+  for (const char* word : {"write", "pwrite", "writev"}) EXPECT_EQ(ask(word), failed(word, ENOSPC));
+  EXPECT_EQ(size(), 0u);
+  EXPECT_EQ(ask("fsync"), "fsync 0 0");
+  EXPECT_EQ(ask("rename"), "rename 0 0");
+  faults_.plan().write_every = 3;
+  int bad = 0;
+  for (int i = 0; i < 9; ++i) bad += ask("write") == "write 10 0" ? 0 : 1;
+  EXPECT_EQ(bad, 3);
+  faults_.plan().write_errno = 0;
+  EXPECT_EQ(ask("write"), "write 10 0");
+}
+
+TEST_F(Shim, ShortensAndTearsWrites) {
+  faults_.plan().shorten_every = 1;
+  EXPECT_EQ(ask("write"), "write 5 0");
+  EXPECT_EQ(size(), 5u);
+  EXPECT_EQ(ask("writev"), "writev 2 0") << "short within its first piece";
+  faults_.plan().shorten_every = 0;
+  faults_.plan().tear_every = 1;
+  EXPECT_EQ(ask("write"), "write 10 0") << "it says that all is there";
+  EXPECT_EQ(size(), 5u + 2 + 5);
+}
+
+TEST_F(Shim, FailsSyncsOrLiesAndFailsRenames) {
+  faults_.plan().sync_errno = EIO;
+  EXPECT_EQ(ask("fsync"), failed("fsync", EIO));
+  EXPECT_EQ(ask("fdatasync"), failed("fdatasync", EIO));
+  EXPECT_EQ(ask("write"), "write 10 0");
+  faults_.plan().sync_errno = 0;
+  faults_.plan().sync_lies = 1;
+  EXPECT_EQ(ask("fsync"), "fsync 0 0");
+  faults_.plan().rename_errno = EROFS;
+  EXPECT_EQ(ask("rename"), failed("rename", EROFS));
+  EXPECT_TRUE(std::filesystem::exists(folder_ + "/data"));
+}
+
+TEST_F(Shim, DelaysWhatTouchesTheDisk) {
+  ask("write");
+  faults_.plan().delay_us = 100000;
+  const auto begin = std::chrono::steady_clock::now();
+  ask("write");
+  ask("fsync");
+  EXPECT_GE(std::chrono::steady_clock::now() - begin, std::chrono::milliseconds(200));
+}
+
+TEST_F(Shim, ShiftsTheTimeOfDayAndNoOtherClock) {
+  const auto read = [this] {
+    std::istringstream in(ask("clock"));
+    std::string word;
+    long long wall = 0, steady = 0;
+    in >> word >> wall >> steady;
+    return std::pair{wall, steady};
+  };
+  const auto before = read();
+  faults_.plan().clock_shift_ns = -3'600'000'000'000;
+  const auto after = read();
+  EXPECT_LT(after.first, before.first - 3'500'000);
+  EXPECT_GE(after.second, before.second);
+  faults_.plan().clock_shift_ns = 0;
+  EXPECT_GE(read().first, before.first);
+}
+
+TEST(MachineFaults, AreInForceInTheProcessThatItStarts) {
+  const std::string folder = testing::TempDir() + "/shim_machine_" + std::to_string(::getpid());
+  const std::string program = folder + "_program";
+  std::ofstream(program) << "#!/bin/sh\necho word | " << SHIM_WORKER << " . ; "
+                         << "for i in 1 2 3; do echo write | " << SHIM_WORKER << " $TMPDIR; done\n";
+  std::filesystem::permissions(program, std::filesystem::perms::owner_all);
+  {
+    Machine machine({program, folder, {"PATH=/usr/bin:/bin"}, 0, FLEET_SHIM});
+    ASSERT_NE(machine.faults(), nullptr);
+    machine.start();
+    while (machine.running()) ::usleep(1000);
+    // Its log is a file as well: what the process says of its own writes stands there.
+    EXPECT_NE(machine.log().find("write 10 0"), std::string::npos) << machine.log();
+    EXPECT_GE(machine.faults()->writes, 3u);
+    machine.faults()->write_errno = ENOSPC;
+    machine.start(true);
+    while (machine.running()) ::usleep(1000);
+    EXPECT_EQ(machine.log().find("write 10 0"), std::string::npos) << "neither file nor log";
+  }
+  std::filesystem::remove_all(folder);
+  std::filesystem::remove(program);
+}
+
+}  // namespace
+}  // namespace thymewood::fleet
--- a/tests/player_test.cpp
+++ b/tests/player_test.cpp
@@ -130,6 +130,28 @@
   EXPECT_LT(beside.failed, 10) << "some of half a tenth of a second; then the other copy serves";
 }
 
+// Callers who come again by themselves: what they want counts once, and how much is made of it shows.
+TEST(Player, CallersWhoComeAgainCountOnceAndTheirTriesShow) {
+  const std::string fails = kOneWorker + "[[load]]\nrate = 2\n[[change]]\nat = 0\nwhat = \"fail\"\n";
+  const Report once = play_direct(fails);
+  EXPECT_DOUBLE_EQ(once.amplification(), 1);
+  EXPECT_DOUBLE_EQ(once.tries, once.offered);
+  const Report again = play_direct(fails + "[clients]\nretries = 3\nwait_ms = 100\n");
+  EXPECT_DOUBLE_EQ(again.offered, once.offered) << "the same load";
+  EXPECT_DOUBLE_EQ(again.tries, 4 * again.offered);
+  EXPECT_DOUBLE_EQ(again.failed, again.offered) << "each counts once";
+  // Half of 3 s a try and 1 s between: the first at 0, the second at 1, the third at 2; none is left for a
+  // fourth.
+  const Report late = play_direct(fails + "[clients]\nretries = 9\nwait_ms = 1000\ntry_share = 0.5\n");
+  EXPECT_DOUBLE_EQ(late.tries, 3 * late.offered);
+  // One that fails half of the time is served in the end by all but one in sixteen.
+  const Report half = play_direct(kOneWorker +
+                                  "[[load]]\nrate = 3\n[[change]]\nat = 0\nwhat = \"fail\"\npart = "
+                                  "0.5\n[clients]\nretries = 3\n");
+  EXPECT_GT(half.served / half.offered, 0.8);
+  EXPECT_EQ(half.broken, 0u);
+}
+
 TEST(Player, ClosedLoopsWaitAsTheyAreTold) {
   const auto offered = [](const char* after) {
     return play_module(
