Out of descriptors, leave a caller alone who has just connected: he is about to ask

At fault: accept_failed() made room by closing the connection that had asked for nothing the longest, also one that was milliseconds old. Ruled out: the 0.3 s of the spare (its request was on its way within 1 ms, by the relay's record). Change: there, and nowhere else, connections of the last 0.1 s are spared.

--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -29,6 +29,7 @@
 // closed on within 3 s.
 constexpr double kFirstWait = 2.5;
 constexpr double kSpareWait = 0.3;   // s; the same on the spare descriptor, for which others wait
+constexpr double kAboutToAsk = 0.1;  // s; for which a new connection is not closed for others
 constexpr double kReadWait = 2.5;    // s; from the first byte of a later request to its last
 constexpr double kIdleWait = 10;     // s; between requests
 constexpr double kErrorPause = 0.1;  // s; after an error of the caller's, before the next request is read
@@ -88,6 +89,7 @@
   }
 
   std::list<std::shared_ptr<Session>>::iterator at;  // in the owner's list
+  const Clock::Steady::time_point begun_at = Clock::Steady::now();
 
   bool is_idle() const { return state_ == State::kReading && ahead_.size() == 0 && !begun_; }
   bool has_unread() {
@@ -449,7 +451,8 @@
 // and clients in its queue would wait in vain. The spare descriptor takes one in at a time, to be told so:
 // what it has asked is taken, and is owed an answer.
 void Frontend::accept_failed() {
-  evict();
+  // Danger: who has just connected is about to ask; what it has written by then would be lost.
+  evict(kAboutToAsk);
   if (spare_ >= 0) {
     ::close(std::exchange(spare_, -1));
     error_code bad;
@@ -473,7 +476,7 @@
 }
 
 void Frontend::admit(tcp::socket socket) {
-  const bool full = sessions_.size() >= limits_.most && !evict();
+  const bool full = sessions_.size() >= limits_.most && !evict(0);
   admit(std::move(socket), full, kFirstWait);
 }
 
@@ -488,9 +491,11 @@
 // Danger: by idle time alone, hundreds of connections that say nothing push out the callers that wait between
 // two requests. Who has never asked for anything goes first, the one that has been there the longest before
 // the others.
-bool Frontend::evict() {
+bool Frontend::evict(double spared) {
+  const Clock::Steady::time_point before = Clock::Steady::now() - Clock::span(spared);
   for (const std::list<Session*>* list : {&strangers_, &idle_}) {
     for (Session* session : *list) {
+      if (list == &strangers_ && session->begun_at > before) break;  // and all behind it are younger
       if (session->has_unread()) continue;
       session->close();
       return true;
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -49,7 +49,8 @@
   void admit(boost::asio::ip::tcp::socket socket);
   void admit(boost::asio::ip::tcp::socket socket, bool full, double patience);
   void keep_spare();
-  bool evict();
+  // Closes one that waits for its caller; not one that has come within the last `spared` seconds.
+  bool evict(double spared);
   void ended(Session& session);
   void stop_accepting();
   void close_idle();
