Take the test of scarce descriptors from what the process holds, not from a number

The limit is now the first number that is free. Also: relay-cost ends its threads where a connection can't be made, as with 9,000 connections of four descriptors each and a limit of 20,000.

--- a/fleet_rig/run/relay_cost.cpp
+++ b/fleet_rig/run/relay_cost.cpp
@@ -78,7 +78,17 @@
   TcpRelay relay(relay_io, table, from, to, {asio::ip::address_v4::loopback(), 0}, echo.where(), 1);
   auto echo_work = asio::make_work_guard(echo_io);
   auto relay_work = asio::make_work_guard(relay_io);
-  std::thread echo_thread([&] { echo_io.run(); }), relay_thread([&] { relay_io.run(); });
+  // Joined whatever happens here: with too few descriptors a connection fails.
+  struct Running {
+    explicit Running(asio::io_context& turned) : io(turned), thread([&turned] { turned.run(); }) {}
+    ~Running() {
+      io.stop();
+      thread.join();
+    }
+    asio::io_context& io;
+    std::thread thread;
+  };
+  Running echoing(echo_io), relaying(relay_io);
   RelayCost out;
   {
     std::vector<tcp::socket> held;
@@ -103,10 +113,6 @@
     out.relayed_p50 = around.quantile(0.5);
     out.relayed_p99 = around.quantile(0.99);
   }
-  relay_io.stop();
-  echo_io.stop();
-  relay_thread.join();
-  echo_thread.join();
   return out;
 }
 
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -11,6 +11,7 @@
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -459,6 +460,14 @@
     return out.str();
   }
   void signal(int number) const { ::kill(pid_, number); }
+  // The number that its next descriptor would have. What it inherits is not the same everywhere.
+  rlim_t next_descriptor() const {
+    rlim_t out = 0;
+    struct stat about {};
+    const std::string folder = "/proc/" + std::to_string(pid_) + "/fd/";
+    while (::lstat((folder + std::to_string(out)).c_str(), &about) == 0) ++out;
+    return out;
+  }
   // So many descriptors from now on; those that are open stay.
   void limit_descriptors(rlim_t most) const {
     rlimit limit{};
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -74,7 +74,8 @@
     for (FakeServer* server : servers) there += server->requests().size();
     return there == 6;
   }));
-  d.program->limit_descriptors(16);  // fewer than these calls hold, and none of them can be closed for others
+  // None is left, and none of these calls can be closed for others.
+  d.program->limit_descriptors(d.program->next_descriptor());
   std::vector<Wire> late;
   for (int i = 0; i < 3; ++i) {
     late.push_back(d.client());
