--- a/bench/model/fleet_tables.h
+++ b/bench/model/fleet_tables.h
@@ -1,5 +1,6 @@
-// The tables of a scenario file that only a fleet of processes can play: machines, links, faults, callers who
-// come again, a second tier, and a discovery that is late. All times are seconds, all rates a second.
+// The tables of a scenario file that are about a fleet: callers who come again and a second tier, and, played
+// by a fleet of processes alone, machines, links, faults and a discovery that is late. All times are seconds,
+// all rates a second.
 #pragma once
 
 #include <limits>
--- a/bench/model/scenario.cpp
+++ b/bench/model/scenario.cpp
@@ -69,6 +69,13 @@
   return s;
 }
 
+Settings Scenario::inner_settings(int server) const {
+  Settings s = settings(server);
+  s.copy_count = static_cast<int>(servers.size());
+  s.tier = 1;
+  return s;
+}
+
 Cast Scenario::cast() const {
   Cast out;
   out.node_zones = node_zones;
--- a/bench/model/scenario.h
+++ b/bench/model/scenario.h
@@ -73,10 +73,19 @@
   double factor = 1;                // kSlow: x the service time from now on
   double told_after = 0;            // s; how much later the copies hear of it
   double part = 1;                  // kFail, kMute: of the calls; 0 ends it
+  bool backends = false;            // `first` and `last` count those of the second tier
   int copy = 0;                     // kRestart
   double down = 0;                  // s; kRestart
 };
 
+// A tenant that sends `rate` requests a second beside what the load brings.
+struct Flood {
+  std::size_t tenant = 0;
+  double at = 0, lasts = std::numeric_limits<double>::infinity();
+  double rate = 0;
+  int copy = -1;  // all of it through this one; -1: as all others come
+};
+
 struct ScenarioServer {
   Capacity capacity;
   int zone = 0, cell = 0;
@@ -100,13 +109,14 @@
   std::vector<LoadStep> load;
   std::vector<Callers> callers;
   std::vector<Change> changes;
+  std::vector<Flood> floods;
+  Clients clients;
+  Chain chain;
+  std::vector<ScenarioServer> backends;  // the second tier
   // Only a fleet of processes can play these.
   std::vector<int> node_zones;  // by copy; all 0 without [[node]]
   std::vector<LinkRule> links;
   std::vector<Fault> faults;
-  Clients clients;
-  Chain chain;
-  std::vector<ScenarioServer> backends;  // the second tier
   DiscoveryTold discovery;
   bool peers = false;      // nodes may send each other datagrams
   std::string clients_at;  // "FILE:LINE: [clients]", where there is one
@@ -120,6 +130,7 @@
   double load_at(double t) const;  // of the open loop
   bool counts_at(double t) const;  // whether `settle` is over
   Settings settings(int copy) const;
+  Settings inner_settings(int server) const;  // of the copy beside a first-tier server
   Cast cast() const;
 };
 
--- a/bench/virtual/player.h
+++ b/bench/virtual/player.h
@@ -31,16 +31,23 @@
   double room = 0, bound = 0;
 };
 
+// What one tenant wanted, while figures count.
+struct TenantPart {
+  double offered = 0, served = 0, in_time = 0;
+};
+
 struct Report {
   // Of what was due while figures count (see Scenario::settle).
   double offered = 0, in_time = 0, served = 0, refused = 0, failed = 0;
-  double unsent = 0;               // of the refused, those that never left the node: there was no room
-  double possible = 0;             // of these, what the servers could have served at most, at any moment
-  double tries = 0, attempts = 0;  // by callers, and by copies at servers, for all that was offered
-  double work = 0, wasted = 0;     // s of work done, and of it for no answer that came in time
-  Histogram latency;               // of served requests, from when each was due
-  std::vector<Second> seconds;     // the whole run
-  std::uint64_t broken = 0;        // rules, in the whole run
+  double unsent = 0;                // of the refused, those that never left the node: there was no room
+  double possible = 0;              // of these, what the servers could have served at most, at any moment
+  double tries = 0, attempts = 0;   // by callers, and by copies at servers, for all that was offered
+  double second_tier = 0;           // by servers' own copies at the second tier, for all that was offered
+  double work = 0, wasted = 0;      // s of work done, and of it for no answer that came in time
+  std::vector<TenantPart> tenants;  // by their places in the file; one for all where none are told apart
+  Histogram latency;                // of served requests, from when each was due
+  std::vector<Second> seconds;      // the whole run
+  std::uint64_t broken = 0;         // rules, in the whole run
   std::vector<std::string> breaks;
   std::vector<std::string> log;  // what the copies logged, the first lines
 
@@ -48,6 +55,7 @@
   double kept() const { return possible > 0 ? in_time / possible : 1; }
   // How much of one thing that is wanted the copies make at the servers.
   double amplification() const { return offered > 0 ? attempts / offered : 0; }
+  double second_amplification() const { return offered > 0 ? second_tier / offered : 0; }
   double unsent_share() const { return offered > 0 ? unsent / offered : 0; }
 };
 
--- a/bench/virtual/records.h
+++ b/bench/virtual/records.h
@@ -27,12 +27,14 @@
     kTold,
     kUp,
     kComesAgain,  // a caller whose try was not served
+    kFlood,       // a tenant that sends more than usual, once more
+    kCallEnded,   // a first-tier server has its answer from the second tier
     kSecond
   };
   double at = 0;
   std::uint64_t order = 0;
   Kind kind = Kind::kSecond;
-  std::size_t what = 0;     // request, attempt, server, caller, copy or change, by the kind
+  std::size_t what = 0;     // request, attempt, server, caller, copy, change or flood, by the kind
   std::uint64_t extra = 0;  // generation, token or copy
   bool operator>(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
 };
@@ -41,6 +43,9 @@
   std::size_t request = 0, server = 0;
   int number = 0;
   double sent = 0, work = 0;
+  double until = 0;  // what its server was told that the copy waits
+  int calls = 0;     // to the second tier that are still to be made for it
+  bool call_served = false;
   std::uint64_t turn = 0;  // tells this use of the record from earlier ones
   bool ended = false;      // the copy has its outcome
   bool at_end = false;     // nothing more comes from the server
@@ -54,7 +59,10 @@
   double due = 0, until = 0;  // due: of this try
   double wanted = 0;          // when the first try was due
   int tries = 1;
-  bool over = false;  // it has its final answer
+  bool pinned = false;            // further tries go to the same copy
+  bool over = false;              // it has its final answer
+  std::size_t parent = kNone;     // of a call to the second tier: the attempt for which it is made ...
+  std::uint64_t parent_turn = 0;  // ... and which use of that record
   std::vector<std::size_t> attempts;
 };
 
@@ -79,6 +87,7 @@
   }
   void give_back(std::size_t at) { free_.push_back(at); }
   T& operator[](std::size_t at) { return all_[at]; }
+  const T& operator[](std::size_t at) const { return all_[at]; }
   std::size_t size() const { return all_.size(); }
 
  private:
--- a/fleet_rig/cast/callers.cpp
+++ b/fleet_rig/cast/callers.cpp
@@ -65,6 +65,10 @@
 void Callers::start() {
   ++loops_;
   asio::co_spawn(io_, open_loop(), asio::detached);
+  for (const bench::Flood& each : scenario_.floods) {
+    ++loops_;
+    asio::co_spawn(io_, flood(each), asio::detached);
+  }
   for (const bench::Callers& group : scenario_.callers) {
     for (int i = 0; i < group.count; ++i) {
       ++loops_;
@@ -86,7 +90,7 @@
   for (double due = arrivals.after(0); due <= scenario_.seconds; due = arrivals.after(due)) {
     timer.expires_at(history_.time_of(due));
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    asio::co_spawn(io_, one(), asio::detached);
+    asio::co_spawn(io_, one(nullptr), asio::detached);
   }
   timer.expires_at(history_.time_of(scenario_.seconds));
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -94,14 +98,28 @@
   --loops_;
 }
 
-asio::awaitable<void> Callers::one() { co_await want(); }
+asio::awaitable<void> Callers::one(const bench::Flood* flood) { co_await want(flood); }
+
+asio::awaitable<void> Callers::flood(const bench::Flood& flood) {
+  bench::Random random(seed_ ^ (0xF100D + flood.tenant));
+  asio::steady_timer timer(io_);
+  error_code ignored;
+  const double end = std::min(flood.at + flood.lasts, scenario_.seconds);
+  for (double due = flood.at + random.exponential(1 / flood.rate); due < end;
+       due += random.exponential(1 / flood.rate)) {
+    timer.expires_at(history_.time_of(due));
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    asio::co_spawn(io_, one(&flood), asio::detached);
+  }
+  --loops_;
+}
 
 asio::awaitable<void> Callers::loop(const bench::Callers& group) {
   asio::steady_timer timer(io_, history_.time_of(group.from));
   error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   while (history_.now() < std::min(group.to, scenario_.seconds)) {
-    const int status = co_await want();
+    const int status = co_await want(nullptr);
     const bool refused = status == 429 || status == 503;
     const double wait = !refused ? group.think : group.after_refusal < 0 ? advised_ : group.after_refusal;
     if (wait > 0) co_await sleep(wait);
@@ -130,10 +148,13 @@
 }
 
 // One thing that is wanted, with all its tries.
-asio::awaitable<int> Callers::want() {
+asio::awaitable<int> Callers::want(const bench::Flood* flood) {
   ++under_way_;
   const std::string first = "w" + std::to_string(++wants_);
-  const std::size_t c = draw(scenario_.classes), tenant = draw(scenario_.tenants);
+  const std::size_t c = draw(scenario_.classes);
+  const std::size_t tenant = flood != nullptr ? flood->tenant : draw(scenario_.tenants);
+  // Pinned to one node, a flood waits until that one is up again.
+  const int pinned = flood != nullptr ? flood->copy : -1;
   const RequestClass& told = scenario_.classes[c].told;
   const double due = history_.now(), until = due + told.give_up;
   Record want;
@@ -148,7 +169,7 @@
   for (int tries = 0; tries <= scenario_.clients.retries;) {
     const double left = until - history_.now();
     if (left < kLeastTime) break;
-    const int node = pick();
+    const int node = pinned < 0 ? pick() : nodes_[static_cast<std::size_t>(pinned)].up ? pinned : -1;
     if (node < 0) {
       co_await sleep(std::min(kNobody, left));
       continue;
--- a/fleet_rig/cast/callers.h
+++ b/fleet_rig/cast/callers.h
@@ -44,8 +44,9 @@
   boost::asio::awaitable<void> watch(int node, std::uint64_t life);
   boost::asio::awaitable<void> open_loop();
   boost::asio::awaitable<void> loop(const bench::Callers& group);
-  boost::asio::awaitable<int> want();
-  boost::asio::awaitable<void> one();
+  boost::asio::awaitable<void> flood(const bench::Flood& flood);
+  boost::asio::awaitable<int> want(const bench::Flood* flood);
+  boost::asio::awaitable<void> one(const bench::Flood* flood);
   boost::asio::awaitable<void> sleep(double seconds);
   int pick();
   template <class All>
--- a/fleet_rig/cast/discovery.cpp
+++ b/fleet_rig/cast/discovery.cpp
@@ -11,6 +11,8 @@
 #include <sstream>
 #include <utility>
 
+#include "sockets.h"
+
 namespace thymewood::fleet {
 
 namespace asio = boost::asio;
@@ -21,7 +23,6 @@
 namespace {
 
 constexpr std::chrono::seconds kKeepAlive{2};  // PROTOCOL: an empty line while nothing changes
-constexpr int kBacklog = 1024;
 
 std::string chunk(const std::string& bytes) {
   std::ostringstream size;
@@ -60,11 +61,7 @@
 void Discovery::up() {
   if (acceptor_.is_open()) return;
   ++life_;
-  acceptor_.open(where_.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(where_);
-  acceptor_.listen(kBacklog);
-  where_ = acceptor_.local_endpoint();
+  where_ = listen_at(acceptor_, where_);
   asio::co_spawn(io_, accept(life_), asio::detached);
 }
 
--- a/fleet_rig/cast/server.cpp
+++ b/fleet_rig/cast/server.cpp
@@ -11,6 +11,8 @@
 #include <limits>
 #include <utility>
 
+#include "sockets.h"
+
 namespace thymewood::fleet {
 
 namespace asio = boost::asio;
@@ -22,13 +24,6 @@
 
 // s. What a call to the second tier is told less than is left, so that the answer can still be passed on.
 constexpr double kCallMargin = 0.02;
-constexpr int kBacklog = 1024;
-
-void end_hard(tcp::socket& socket) {
-  error_code ignored;
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket.close(ignored);
-}
 
 }  // namespace
 
@@ -54,11 +49,7 @@
   if (is_up()) return;
   ++life_;
   if (cold) model_.restart(history_.now());
-  acceptor_.open(where_.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(where_);
-  acceptor_.listen(kBacklog);
-  where_ = acceptor_.local_endpoint();
+  where_ = listen_at(acceptor_, where_);
   asio::co_spawn(io_, accept(life_), asio::detached);
 }
 
--- a/fleet_rig/history/figures.h
+++ b/fleet_rig/history/figures.h
@@ -26,7 +26,7 @@
   double worst_second = 1;                 // least part served of any second with a tenth of the usual load
   double recovery = 0;  // s after the last fault's end until well again; -1: never, see below
   double least_node = 1, most_node = 1;  // least and most served part of any node that was up all the time
-  double least_tenant = 1;               // least served part of any tenant
+  double least_tenant = 1;               // least served part of any tenant that does not flood
   double memory_kb = 0,
          memory_grown_kb = 0;  // the largest node's at the end, and the most that one has grown
   int descriptors = 0;         // the most that any node had at the end
--- a/fleet_rig/net/tcp_relay.cpp
+++ b/fleet_rig/net/tcp_relay.cpp
@@ -12,6 +12,8 @@
 #include <tuple>
 #include <utility>
 
+#include "sockets.h"
+
 namespace thymewood::fleet {
 
 namespace asio = boost::asio;
@@ -20,7 +22,6 @@
 
 namespace {
 
-constexpr int kBacklog = 1024;
 constexpr std::size_t kPiece = std::size_t{16} * 1024;
 // Bytes that wait for one way of one connection; beyond, its sender is no longer read, as with a full window.
 constexpr std::size_t kMostQueued = std::size_t{256} * 1024;
@@ -33,12 +34,6 @@
       std::chrono::duration_cast<TcpRelay::Steady::duration>(std::chrono::duration<double>(seconds)));
 }
 
-void end_hard(tcp::socket& socket) {
-  error_code ignored;
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket.close(ignored);
-}
-
 }  // namespace
 
 class TcpRelay::Connection : public std::enable_shared_from_this<Connection> {
@@ -245,10 +240,7 @@
 }
 
 void TcpRelay::open() {
-  acceptor_.open(where_.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(where_);
-  acceptor_.listen(kBacklog);
+  listen_at(acceptor_, where_);
   ++turn_;
   accepting_ = false;
   accept();
@@ -317,7 +309,7 @@
   }
   for (tcp::socket& filler : fillers_) end_hard(filler);
   fillers_.clear();
-  acceptor_.listen(kBacklog, ignored);
+  acceptor_.listen(kListenBacklog, ignored);
   accept();
 }
 
--- a/fleet_rig/run/fleet.cpp
+++ b/fleet_rig/run/fleet.cpp
@@ -548,7 +548,7 @@
                           std::chrono::system_clock::now().time_since_epoch())
                           .count();
   for (std::size_t i = c.first; i <= c.last; ++i) {
-    const Party party{PartyKind::kServer, static_cast<int>(i)};
+    const Party party{c.backends ? PartyKind::kBackend : PartyKind::kServer, static_cast<int>(i)};
     Server& server = *servers_.at(party);
     std::optional<Discovery::Status> told;
     switch (c.what) {
@@ -633,6 +633,17 @@
   }
 }
 
+// The callers make them; here they are put beside the faults.
+void Fleet::note_floods() {
+  for (const bench::Flood& flood : scenario_.floods) {
+    const std::string text = "flood of " + scenario_.tenants.at(flood.tenant).name +
+                             (flood.copy < 0 ? "" : " through node:" + std::to_string(flood.copy));
+    at(flood.at, [this, text] { note(Record::What::kFault, kTheDiscovery, text); });
+    if (std::isfinite(flood.lasts))
+      at(flood.at + flood.lasts, [this, text] { note(Record::What::kHealed, kTheDiscovery, text); });
+  }
+}
+
 std::string Fleet::play() {
   start_nodes();
   constexpr double kBreath = 0.1;  // s; before the load
@@ -645,6 +656,7 @@
   for (const auto& [party, server] : servers_) writers.push_back(party);
   for (const Party& party : writers) note(Record::What::kParty, party);
   go_through(plan(scenario_, options_.seed), 0);
+  note_floods();
   look_at_clock();
   look_at_nodes();
   callers_->start();
--- a/fleet_rig/run/fleet.h
+++ b/fleet_rig/run/fleet.h
@@ -83,6 +83,7 @@
   void refuse_to(const Party& party, bool on);
   void note(Record::What what, const Party& by, const std::string& text = "");
 
+  void note_floods();
   void look_at_clock();
   void look_at_nodes();
   void finish();
--- a/fleet_rig/run/main.cpp
+++ b/fleet_rig/run/main.cpp
@@ -154,7 +154,7 @@
   judges->add_option("history", history)->required()->check(CLI::ExistingFile);
   judges->add_option("scenario", scenario)->required()->check(CLI::ExistingFile);
   judges->add_option("--slack", choice.slack, "s by which a time limit may be missed");
-  std::size_t connections = 4500;  // each takes four descriptors here
+  std::size_t connections = 9900;  // each takes two descriptors of the relay's
   CLI::App* const cost = app.add_subcommand("relay-cost", "what a relay adds to a round trip");
   cost->add_option("--connections", connections, "held open meanwhile");
   CLI11_PARSE(app, argc, argv);
--- a/fleet_rig/run/relay_cost.cpp
+++ b/fleet_rig/run/relay_cost.cpp
@@ -1,16 +1,22 @@
 #include "relay_cost.h"
 
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
-#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstdio>
+#include <functional>
 #include <memory>
-#include <thread>
+#include <stdexcept>
+#include <utility>
 #include <vector>
 
 #include "histogram.h"
@@ -64,55 +70,101 @@
   return std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
 }
 
-}  // namespace
+// A process of its own for one side: what it holds open counts against its own limit of descriptors. It ends
+// with this object, or with its parent.
+class Side {
+ public:
+  // `make` begins to listen on the loop, and returns where.
+  explicit Side(const std::function<tcp::endpoint(asio::io_context&, std::shared_ptr<void>&)>& make) {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe to a process of the relay's cost");
+    const pid_t parent = ::getpid();
+    process_ = ::fork();
+    if (process_ < 0) throw std::runtime_error("no process for the relay's cost");
+    if (process_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (::getppid() != parent) ::_exit(1);
+      serve(make, ends[1]);
+    }
+    ::close(ends[1]);
+    unsigned short port = 0;
+    const bool said = ::read(ends[0], &port, sizeof port) == sizeof port;
+    ::close(ends[0]);
+    if (!said) throw std::runtime_error("a process of the relay's cost does not listen");
+    where_ = {asio::ip::address_v4::loopback(), port};
+  }
+  ~Side() {
+    ::kill(process_, SIGKILL);
+    ::waitpid(process_, nullptr, 0);
+  }
+  Side(const Side&) = delete;
+  Side& operator=(const Side&) = delete;
+  const tcp::endpoint& where() const { return where_; }
 
-RelayCost measure_relay_cost(std::size_t connections, int rounds) {
+ private:
+  [[noreturn]] static void serve(
+      const std::function<tcp::endpoint(asio::io_context&, std::shared_ptr<void>&)>& make, int to) {
+    try {
+      asio::io_context io(1);
+      std::shared_ptr<void> held;
+      const unsigned short port = make(io, held).port();
+      if (::write(to, &port, sizeof port) == sizeof port) io.run();
+    } catch (const std::exception& problem) {
+      std::fprintf(stderr, "relay-cost: %s\n", problem.what());
+    }
+    ::_exit(1);
+  }
+  pid_t process_ = -1;
+  tcp::endpoint where_;
+};
+
+void raise_descriptors() {
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
   limit.rlim_cur = limit.rlim_max;
   setrlimit(RLIMIT_NOFILE, &limit);
-  asio::io_context echo_io(1), relay_io(1), own(1);
-  Echo echo(echo_io);
-  LinkTable table;
-  const Party from{bench::PartyKind::kCallers, 0}, to{bench::PartyKind::kNode, 0};
-  TcpRelay relay(relay_io, table, from, to, {asio::ip::address_v4::loopback(), 0}, echo.where(), 1);
-  auto echo_work = asio::make_work_guard(echo_io);
-  auto relay_work = asio::make_work_guard(relay_io);
-  // Joined whatever happens here: with too few descriptors a connection fails.
-  struct Running {
-    explicit Running(asio::io_context& turned) : io(turned), thread([&turned] { turned.run(); }) {}
-    ~Running() {
-      io.stop();
-      thread.join();
-    }
-    asio::io_context& io;
-    std::thread thread;
-  };
-  Running echoing(echo_io), relaying(relay_io);
+}
+
+}  // namespace
+
+RelayCost measure_relay_cost(std::size_t connections, int rounds) {
+  raise_descriptors();
+  const Side echo([](asio::io_context& io, std::shared_ptr<void>& held) {
+    const auto made = std::make_shared<Echo>(io);
+    held = made;
+    return made->where();
+  });
+  const Side relay([&echo](asio::io_context& io, std::shared_ptr<void>& held) {
+    const Party from{bench::PartyKind::kCallers, 0}, to{bench::PartyKind::kNode, 0};
+    const auto table = std::make_shared<LinkTable>();
+    const auto made = std::make_shared<TcpRelay>(
+        io, *table, from, to, tcp::endpoint(asio::ip::address_v4::loopback(), 0), echo.where(), 1);
+    held = std::make_shared<std::pair<std::shared_ptr<LinkTable>, std::shared_ptr<TcpRelay>>>(table, made);
+    return made->where();
+  });
   RelayCost out;
-  {
-    std::vector<tcp::socket> held;
-    for (std::size_t i = 0; i < connections; ++i) {
-      held.emplace_back(own);
-      held.back().connect(relay.where());
-      round_trip(held.back());
-    }
-    out.held = held.size();
-    tcp::socket direct(own), relayed(own);
-    direct.connect(echo.where());
-    relayed.connect(relay.where());
-    direct.set_option(tcp::no_delay(true));
-    relayed.set_option(tcp::no_delay(true));
-    bench::Histogram straight, around;
-    for (int i = 0; i < rounds; ++i) {
-      straight.add(round_trip(direct));
-      around.add(round_trip(relayed));
-    }
-    out.direct_p50 = straight.quantile(0.5);
-    out.direct_p99 = straight.quantile(0.99);
-    out.relayed_p50 = around.quantile(0.5);
-    out.relayed_p99 = around.quantile(0.99);
+  asio::io_context own(1);
+  std::vector<tcp::socket> held;
+  for (std::size_t i = 0; i < connections; ++i) {
+    held.emplace_back(own);
+    held.back().connect(relay.where());
+    round_trip(held.back());
+  }
+  out.held = held.size();
+  tcp::socket direct(own), relayed(own);
+  direct.connect(echo.where());
+  relayed.connect(relay.where());
+  direct.set_option(tcp::no_delay(true));
+  relayed.set_option(tcp::no_delay(true));
+  bench::Histogram straight, around;
+  for (int i = 0; i < rounds; ++i) {
+    straight.add(round_trip(direct));
+    around.add(round_trip(relayed));
   }
+  out.direct_p50 = straight.quantile(0.5);
+  out.direct_p99 = straight.quantile(0.99);
+  out.relayed_p50 = around.quantile(0.5);
+  out.relayed_p99 = around.quantile(0.99);
   return out;
 }
 
