--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -132,6 +132,15 @@
   std::vector<Server> servers;
 };
 
+// How many copies there are now and which of them this one is, where that is known better than by the
+// settings. It spreads work and makes careful: a server that no update named is never used for it.
+struct FleetChanged {
+  int rank = 0;  // this copy's place among those that live, 0 .. live - 1
+  int live = 1;
+  int bound = 1;        // copies to be reckoned with, where each takes its part of a limit; `live` at least
+  bool moving = false;  // copies may see different fleets for now: the parts overlap more
+};
+
 struct TimerFired {
   std::uint64_t token = 0;
 };
@@ -139,8 +148,8 @@
 // The copy starts: the first event, so that it can ask for what it needs.
 struct Started {};
 
-using Event =
-    std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate, TimerFired>;
+using Event = std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate,
+                           FleetChanged, TimerFired>;
 
 // ---------------------------------------------------------------- actions
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -18,10 +18,12 @@
 
 constexpr double kInTime = 0.6;  // of the aim; slower answers tell of queues before the aim is missed
 
-constexpr std::size_t kSubset = 5;     // servers at least; enough spread, few connections
-constexpr std::size_t kFew = 32;       // servers that are looked through for each call
-constexpr int kDraws = 16;             // among more of them, draws until two may be used
-constexpr std::size_t kCover = 2;      // copies that use each server, at least: few copies have large subsets
+constexpr std::size_t kSubset = 5;  // servers at least; enough spread, few connections
+constexpr std::size_t kFew = 32;    // servers that are looked through for each call
+constexpr int kDraws = 16;          // among more of them, draws until two may be used
+constexpr std::size_t kCover = 2;   // copies that use each server, at least: few copies have large subsets
+// ... and while copies may count each other differently: a rank that is off by two leaves no server bare.
+constexpr std::size_t kMovingCover = 5;
 constexpr double kAdmittedMemory = 5;  // s; smoothing of the admitted rate that sizes cold budgets
 constexpr double kColdBudget = 1;      // x a server's part of the traffic, times what it can do so far
 
@@ -105,6 +107,7 @@
       classes_.push_back({{aim / 4, aim / 8, 0}});
     }
     settings_.tenants.emplace_back();
+    reckoned_ = settings_.copy_count;
     for (const Tenant& told : settings_.tenants) tenants_.emplace_back(told, settings_);
   }
 
@@ -189,7 +192,7 @@
     const std::size_t index = static_cast<std::size_t>(settings_.copy_index);
     const std::size_t count = static_cast<std::size_t>(settings_.copy_count);
     // Danger: a subset of fixed size leaves servers without any caller where copies are few.
-    const std::size_t size = std::max(kSubset, (kCover * from.size() + count - 1) / count);
+    const std::size_t size = std::max(kSubset, (cover_ * from.size() + count - 1) / count);
     std::vector<std::size_t> out;
     for (const std::size_t at : subset_of(index, count, from.size(), size)) out.push_back(from[at]);
     return out;
@@ -219,7 +222,7 @@
     subset_.insert(subset_.end(), others.begin(), others.end());
     for (ServerNode& s : servers_) s.in_subset = false;
     for (const std::size_t i : subset_) servers_[i].in_subset = true;
-    sharers_ = std::max(1.0, static_cast<double>(settings_.copy_count) * static_cast<double>(subset_.size()) /
+    sharers_ = std::max(1.0, static_cast<double>(reckoned_) * static_cast<double>(subset_.size()) /
                                  static_cast<double>(ring_.size()));
   }
 
@@ -583,6 +586,17 @@
     rebuild_subset();
   }
 
+  // Danger: taken from those that answer, `bound` would give away what copies that are cut off go on using.
+  void on(const FleetChanged& fleet) {
+    if (fleet.rank < 0 || fleet.rank >= fleet.live) return;
+    for (TenantLimit& t : tenants_) t.share_anew(static_cast<double>(settings_.copy_count) / fleet.live);
+    settings_.copy_index = fleet.rank;
+    settings_.copy_count = fleet.live;
+    reckoned_ = std::max(fleet.live, fleet.bound);
+    cover_ = fleet.moving ? kMovingCover : kCover;
+    rebuild_subset();
+  }
+
   void on(const TimerFired& timer) {
     if (timer.token == kWatchTimer && settings_.must_watch) out_->push_back(WatchMembers{});
   }
@@ -599,6 +613,8 @@
   std::unordered_map<std::string, std::size_t> by_address_;
   std::vector<std::size_t> unused_;  // places of servers that were forgotten
   std::vector<std::size_t> ring_, subset_, choice_;
+  std::size_t cover_ = kCover;
+  int reckoned_ = 1;                       // copies, see FleetChanged::bound
   std::size_t subset_home_ = 0;            // its first members: those that are not away
   std::size_t remembered_ = 0;             // the least busy of the last draw
   double ready_weight_ = 0, sharers_ = 1;  // sharers: copies that use the same server
--- a/src/tenant.cpp
+++ b/src/tenant.cpp
@@ -42,6 +42,12 @@
   limit_ = start_ = std::max(floor_, part * kStartShare + kNoise * std::sqrt(part / kWindow));
 }
 
+void TenantLimit::share_anew(double factor) {
+  floor_ *= factor;
+  start_ *= factor;
+  limit_ = std::max(floor_, limit_ * factor);
+}
+
 double TenantLimit::factor_of(const SlidingWindow::Sums& sums) const {
   const double soft = limit_ * kWindow;
   if (sums.accepted() < soft) return 0;
--- a/src/tenant.h
+++ b/src/tenant.h
@@ -27,6 +27,9 @@
   // of a limit and no more, however high it is.
   void ended(double now, bool badly, double unqueued);
 
+  // This copy's part of the allowance is so many times what it was.
+  void share_anew(double factor);
+
   TenantView view(double now) const;
 
  private:
