--- a/tests/membership_net.h
+++ b/bench/membership/membership_net.h
@@ -3,6 +3,7 @@
 // same run.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -10,6 +11,8 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "detector.h"
--- a/bench/model/scenario.h
+++ b/bench/model/scenario.h
@@ -118,8 +118,10 @@
   std::vector<LinkRule> links;
   std::vector<Fault> faults;
   DiscoveryTold discovery;
-  bool peers = false;      // nodes may send each other datagrams
-  std::string clients_at;  // "FILE:LINE: [clients]", where there is one
+  bool peers = false;       // nodes may send each other datagrams
+  std::string operators;    // the operators' file of each node; empty: none
+  double views_within = 0;  // s after the last change by which nodes see the fleet as it is; 0: not judged
+  std::string clients_at;   // "FILE:LINE: [clients]", where there is one
   // "FILE:LINE: TABLE", one for each table above that the file holds.
   std::vector<std::string> fleet_only;
 
--- a/bench/model/scenario_file.cpp
+++ b/bench/model/scenario_file.cpp
@@ -350,6 +350,10 @@
   }
   s.peers = t.flag("peers", false);
   if (s.peers) s.fleet_only.push_back(t.place() + ": peers");
+  s.operators = t.word("operators", "");
+  if (!s.operators.empty()) s.fleet_only.push_back(t.place() + ": operators");
+  s.views_within = t.number("views_within", 0);
+  if (s.views_within > 0 && s.operators.empty()) t.wrong("'views_within' needs 'operators'");
   const Cast cast = s.cast();
   for (Reader& link : t.tables("link")) {
     note(link, "[[link]]");
--- a/fleet_rig/history/judges.cpp
+++ b/fleet_rig/history/judges.cpp
@@ -89,6 +89,7 @@
 
 Rules Rules::of(const bench::Scenario& scenario) {
   Rules out;
+  out.views_within = scenario.views_within;
   for (const bench::LoadClass& c : scenario.classes) out.classes.push_back(c.told);
   for (const bench::ScenarioServer& s : scenario.servers) {
     out.server_cells.push_back(s.cell);
@@ -300,6 +301,7 @@
   judge_drains(history, rules, out);
   judge_cold(history, rules, out);
   judge_abandoned(history, rules, out);
+  judge_views(history, rules, out);
   if (out.asked == 0) out.blind.emplace_back("nobody asked anything");
   return out;
 }
--- a/fleet_rig/history/judges.h
+++ b/fleet_rig/history/judges.h
@@ -22,13 +22,15 @@
   double fall_s = 1;         // ... for this long
   double slack = 0.05;       // s; how late a time limit may be met
   double abandoned = 0.25;   // s; sends for a caller who has closed may go on for so long
+  double views_within = 0;   // s; see bench::Scenario
   double most_late = 1;      // s; a rig that ran later than this has measured nothing
 
   static Rules of(const bench::Scenario& scenario);
 };
 
 struct Finding {
-  std::string rule;  // one-final-answer, no-double-effect, drains-kept, cold-servers, abandoned, crash
+  std::string
+      rule;  // one-final-answer, no-double-effect, drains-kept, cold-servers, abandoned, fleet-views, crash
   std::string what;
   double t = 0;
 };
@@ -51,6 +53,9 @@
 void judge_effects(const History& history, const Rules& rules, Verdict& verdict);
 void judge_drains(const History& history, const Rules& rules, Verdict& verdict);
 void judge_cold(const History& history, const Rules& rules, Verdict& verdict);
+// fleet-views: a node that says that it reckons with fewer nodes than there are (`bound-kept` in its words),
+// or sees another fleet than there is though nothing has changed for `views_within`.
+void judge_views(const History& history, const Rules& rules, Verdict& verdict);
 void judge_abandoned(const History& history, const Rules& rules, Verdict& verdict);
 
 }  // namespace thymewood::fleet
--- a/fleet_rig/history/record.cpp
+++ b/fleet_rig/history/record.cpp
@@ -12,10 +12,10 @@
 namespace thymewood::fleet {
 namespace {
 
-constexpr std::array<const char*, 25> kWords{
+constexpr std::array<const char*, 26> kWords{
     "begin",  "party",    "want",      "end",   "ask",  "answer", "broken", "gave_up", "came",
     "done",   "told",     "up",        "down",  "term", "away",   "back",   "crash",   "fault",
-    "healed", "bad_link", "good_link", "usage", "open", "late",   "closed"};
+    "healed", "bad_link", "good_link", "usage", "open", "view",   "late",   "closed"};
 
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
--- a/fleet_rig/history/record.h
+++ b/fleet_rig/history/record.h
@@ -39,6 +39,7 @@
     kGoodLink,  // ... to here
     kUsage,     // of a node: cpu `work` s so far, memory `status` kB, descriptors `count`
     kOpen,      // `count` connections are open at all servers
+    kView,      // node `by` says in its log how it sees the fleet: `note`, see views.h
     kLate,      // the rig itself ran late by `work` s
     kClosed     // `by` has written all that it saw
   };
--- a/fleet_rig/machine/machine.cpp
+++ b/fleet_rig/machine/machine.cpp
@@ -9,12 +9,14 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <new>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 namespace thymewood::fleet {
@@ -132,12 +134,22 @@
 
 void Machine::pause() {
   if (!running() || paused_) return;
-  ::kill(-pid_, SIGSTOP);
-  int status = 0;
-  while (::waitpid(pid_, &status, WUNTRACED) < 0 && errno == EINTR) {
+  // Danger: a process that waits in vfork(2) for a child that is stopped before its exec never stops itself. So
+  // the group is let go on for a moment, and stopped again.
+  constexpr int kLooks = 100;
+  for (;;) {
+    ::kill(-pid_, SIGSTOP);
+    for (int look = 0; look < kLooks; ++look) {
+      int status = 0;
+      const pid_t seen = ::waitpid(pid_, &status, WUNTRACED | WNOHANG);
+      if (seen == pid_ && !WIFSTOPPED(status)) return reap(status);  // it ended first
+      paused_ = seen == pid_;
+      if (paused_) return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    ::kill(-pid_, SIGCONT);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
-  if (!WIFSTOPPED(status)) return reap(status);  // it ended first
-  paused_ = true;
 }
 
 void Machine::resume() {
--- a/fleet_rig/planted.py
+++ b/fleet_rig/planted.py
@@ -16,7 +16,7 @@
 
 # name, file, what stands there, what is planted, day, rule that has to be named (or 'FIGURE op value')
 PLANTED = [
-    ('lost_at_sigterm', 'node/main.cpp', 'if (!bad) frontend.drain([&io] { io.stop(); });', 'if (!bad) io.stop();',
+    ('lost_at_sigterm', 'node/main.cpp', 'frontend.drain([&io, &peers] {', 'static_cast<void>([&io, &peers] {',
      'rolling', 'one-final-answer'),
     ('drain_ignored', 'node/discovery.cpp', 'member.server.state = ServerState::kDraining;',
      'member.server.state = ServerState::kReady;', 'lists_differ', 'drains-kept'),
@@ -49,11 +49,60 @@
      'tier1/tries > 1.5'),
 ]
 
+# The same for how nodes know each other: name, file, what stands there, what is planted. Seen when membership_tests fail.
+PLANTED_VIEWS = [
+    ('objection_ignored', 'membership/detector.cpp', 'if (higher) take(record, from == record.number', 'if (false) take(record, from == record.number'),
+    ('never_objects', 'membership/detector.cpp', 'own.incarnation = above + 1;', 'own.incarnation = own.incarnation;'),
+    ('suspicion_never_ends', 'membership/detector.cpp', 'if (!e.suspicion || now < deadline_of(*e.suspicion)) continue;', 'continue;'),
+    ('nobody_is_asked_for_help', 'membership/detector.cpp', 'probe_->help = true;', 'probe_->help = true;\n  return;'),
+    ('help_is_not_passed_back', 'membership/detector.cpp', 'post(Kind::kAck, done.of, done.target, done.asked, out);', ''),
+    ('failure_believed_at_once', 'membership/detector.cpp', 'if (!may_accuse) return;', 'if (record.state >= State::kFailed) return take(record, "is said", out);'),
+    ('many_accusers_in_one_datagram', 'membership/detector.cpp', 'hear(now, r, m.from, first, out);', 'hear(now, r, m.from, true, out);'),
+    ('any_address_will_do', 'membership/detector.cpp', 'if (!sender || *sender != m.from) {', 'if (false) {'),
+    ('replays_are_heard', 'membership/detector.cpp', 'if (!is_new(from, m)) {', 'if (false) {'),
+    ('old_lives_are_heard', 'membership/detector.cpp', 'if (life_of(m.incarnation) < life_of(from.record.incarnation)) {', 'if (false) {'),
+    ('no_way_back_after_a_cut', 'membership/detector.cpp', 'if (periods_ % plan_.rejoin_every == 0) {', 'if (false) {'),
+    ('away_is_not_noticed', 'membership/detector.cpp', 'late > kAway * plan_.period) back_from_away', 'late > 1e9) back_from_away'),
+    ('no_doubt_in_itself', 'membership/detector.cpp', 'doubt_ = std::clamp(doubt_ + more, 0, plan_.most_doubt);', 'static_cast<void>(more);'),
+    ('leaving_is_not_said', 'membership/detector.cpp', 'if (supersedes(sender, table_[m.from].record)) take(sender, "says that it ends", out);', ''),
+    ('rumours_ride_once', 'membership/detector.cpp', 'rides_ = static_cast<int>(std::ceil(plan.rides * scale_of(self.peers)));', 'rides_ = 1;'),
+    ('rank_by_the_told_count', 'membership/view.cpp', 'out.live += members_[i].settled ? 1 : 0;', 'out.live += 1;'),
+    ('bound_by_those_that_answer', 'membership/view.cpp', 'out.bound = std::max(out.live, out.told - left);', 'out.bound = out.live;'),
+    ('flapping_moves_all', 'membership/view.cpp', 'return plan_.hold * static_cast<double>(1 << std::min(m.turns, plan_.most_hold));', 'return 0;'),
+    ('no_calm_between_moves', 'membership/view.cpp', 'std::max(m.since + hold_of(m), moved_ + plan_.calm)', 'm.since'),
+    ('a_cut_is_not_known', 'membership/view.cpp', 'if (2 * reached <= others + 1) return Confidence::kCutOff;', ''),
+    ('checksum_not_looked_at', 'membership/codec.cpp', 'if (from.take<std::uint32_t>() != checksum_of(bytes)) return Fault::kDamaged;', 'from.take<std::uint32_t>();'),
+    ('longer_than_it_may_be', 'membership/codec.h', 'kMostBytes - kHeadBytes) / kRecordBytes;', 'kMostBytes - kHeadBytes) / kRecordBytes + 1;'),
+]
+
 
 def run(command, **more):
     return subprocess.run(command, text=True, capture_output=True, **more)
 
 
+def plant_views(scratch, wanted):
+    missed = 0
+    for name, file, old, new in PLANTED_VIEWS:
+        if wanted and name not in wanted:
+            continue
+        path = scratch / 'src' / file
+        text = path.read_text()
+        if text.count(old) != 1:
+            print(f'| {name} | membership_tests | NOT PLANTED: its text stands {text.count(old)} times in {file} |')
+            missed += 1
+            continue
+        path.write_text(text.replace(old, new))
+        built = run(['cmake', '--build', scratch / 'build', '-j', '8', '--target', 'membership_tests'])
+        out = run(['timeout', '-s', 'KILL', '120', scratch / 'build/tests/membership_tests', '--gtest_fail_fast'])
+        failed = re.findall(r'^\[  FAILED  \] ([A-Za-z.]+) \(', out.stdout, re.M)
+        seen = built.returncode == 0 and out.returncode != 0
+        what = failed[0] if failed else 'it ended' if out.returncode < 0 else 'nothing'
+        print(f'| {name} | membership_tests | {what if seen else "NOT SEEN"} |', flush=True)
+        missed += 0 if seen else 1
+        path.write_text(text)
+    return missed
+
+
 def main():
     build = pathlib.Path(sys.argv[1])
     wanted = set(sys.argv[2:])
@@ -63,7 +112,9 @@
     try:
         run(['git', 'clone', '-q', str(top), str(scratch / 'src')], check=True)
         run(['cmake', '-S', scratch / 'src', '-B', scratch / 'build', '-DCMAKE_BUILD_TYPE=Release',
-             '-DTHYMEWOOD_BUILD_ADAPTER=OFF'], check=True)
+             '-DTHYMEWOOD_BUILD_ADAPTER=OFF', '-DTHYMEWOOD_BUILD_TESTS=ON'], check=True)
+        print('| planted | tests | seen |\n| --- | --- | --- |', flush=True)
+        missed += plant_views(scratch, wanted)
         print('| planted | day | has to be seen | seen |\n| --- | --- | --- | --- |', flush=True)
         for name, file, old, new, day, rule in PLANTED:
             if wanted and name not in wanted:
--- a/fleet_rig/run/fleet.cpp
+++ b/fleet_rig/run/fleet.cpp
@@ -122,6 +122,9 @@
                              wants_shim(scenario_) ? FLEET_SHIM : ""};
     machine.environment.push_back("RELAY_CONFIG=" + std::filesystem::absolute(folder).string() +
                                   "/config.json");
+    if (!scenario_.operators.empty())
+      machine.environment.push_back("THYMEWOOD_OPERATORS=" + std::filesystem::absolute(folder).string() +
+                                    "/operators.toml");
     node.machine = std::make_unique<Machine>(machine);
   }
   discovery_ = std::make_unique<Discovery>(
@@ -228,6 +231,11 @@
     for (int i = 0; i < scenario_.copies; ++i)
       told.peers.push_back(text_of(hub_->face(static_cast<std::size_t>(i))));
   }
+  if (!scenario_.operators.empty()) {
+    std::ofstream operators(node.machine->folder() + "/operators.toml", std::ios::trunc);
+    operators << scenario_.operators;
+    if (!operators.flush()) throw std::runtime_error(node.machine->folder() + ": cannot be written");
+  }
   const std::string path = node.machine->folder() + "/config.json";
   std::ofstream file(path + ".new", std::ios::trunc);
   file << node_config(scenario_, told);
@@ -299,8 +307,20 @@
   }
 }
 
+// How a node sees the fleet stands in its log; it is put beside what the others saw at the moment it is read.
+void Fleet::look_at_log(const Party& party, Node& node) {
+  std::ifstream log(node.machine->folder() + "/log");
+  if (!log.seekg(node.read)) return;
+  constexpr std::string_view kMark = "fleet: view ";
+  for (std::string line; std::getline(log, line) && !log.eof();) {
+    node.read += static_cast<std::streamoff>(line.size()) + 1;
+    if (line.rfind(kMark, 0) == 0) note(Record::What::kView, party, line.substr(kMark.size()));
+  }
+}
+
 void Fleet::look_at_nodes() {
   for (auto& [party, node] : nodes_) {
+    if (!scenario_.operators.empty() && party.kind == PartyKind::kNode) look_at_log(party, node);
     if (!node.wanted || node.machine->running()) continue;
     node.wanted = false;
     refuse_to(party, true);
--- a/fleet_rig/run/fleet.h
+++ b/fleet_rig/run/fleet.h
@@ -58,6 +58,7 @@
     bool wanted = false;           // it should be running: an end of its own is a crash
     bool starved = false;
     int lives = 0;
+    std::streamoff read = 0;  // of its log
   };
 
   void build();
@@ -86,6 +87,7 @@
   void note_floods();
   void look_at_clock();
   void look_at_nodes();
+  void look_at_log(const Party& party, Node& node);
   void finish();
 
   bench::Scenario scenario_;
--- a/membership/detector.h
+++ b/membership/detector.h
@@ -40,7 +40,7 @@
   double answer_part = 0.3;  // of the period; without an answer others are asked for help
   int helpers = 3;
   // x log10 of the fleet x period: how long a suspect has to object, at the least ...
-  double suspicion = 4;
+  int suspicion = 4;
   double suspicion_most = 6;  // ... and x that with a single accuser
   int accusers = 3;           // that many more, and it is the least
   int most_doubt = 8;         // all of a node's times are up to 1 + this times longer
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -34,6 +34,32 @@
   return out;
 }
 
+PeersTold::Endpoint read_peer(std::string_view text, const char* field) {
+  const auto out = parse_endpoint(text);
+  if (!out) json::wrong(field, "an address with a port");
+  return {out->address(), out->port()};
+}
+
+// Talk between nodes needs the platform's word for it, an address of one's own, and those of the others.
+std::optional<PeersTold> read_peers(const json::Value& in, const json::Value& bounds,
+                                    const Settings& settings) {
+  const json::Value* const permitted = json::find(bounds, "peers");
+  if (permitted == nullptr || !permitted->IsBool() || !permitted->GetBool()) return std::nullopt;
+  if (json::find(in, "peer_listen") == nullptr || json::find(in, "peers") == nullptr) return std::nullopt;
+  PeersTold out;
+  out.listen = read_peer(json::text(in, "peer_listen"), "peer_listen");
+  for (const json::Value& peer : json::array(in, "peers").GetArray()) {
+    if (!peer.IsString()) json::wrong("peers", "an array of addresses with ports");
+    out.peers.push_back(read_peer({peer.GetString(), peer.GetStringLength()}, "peers"));
+  }
+  if (static_cast<std::size_t>(settings.copy_index) >= out.peers.size())
+    json::wrong("peers", "an address for this node's own position");
+  constexpr std::size_t kMostPeers = 60000;
+  if (out.peers.size() > kMostPeers) json::wrong("peers", "60000 addresses at most");
+  if (json::find(in, "peers_all") != nullptr) out.all = read_peer(json::text(in, "peers_all"), "peers_all");
+  return out;
+}
+
 std::vector<std::string> names_of(const json::Value& list) {
   std::vector<std::string> out;
   for (const json::Value& item : list.GetArray()) out.emplace_back(json::text(item, "name"));
@@ -87,6 +113,7 @@
   const int max_open = json::whole_or(bounds, "maxOpen", kUsualOpen);
   if (max_open < 1) json::wrong("maxOpen", "at least 1");
   out.max_open = static_cast<std::size_t>(max_open);
+  out.peers = read_peers(in, bounds, out.settings);
   if (const json::Value* known = json::find(in, "known")) {
     try {
       out.known = read_membership(*known, out.directory, clock);
--- a/node/config.h
+++ b/node/config.h
@@ -3,10 +3,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "discovery.h"
+#include "peers.h"
 #include "thymewood/balancer.h"
 
 namespace thymewood::node {
@@ -23,6 +25,8 @@
   std::vector<std::string> class_names, tenant_names;  // in the order of the settings
   Directory directory;
   Membership known;
+  // Where nodes may talk and it is said how.
+  std::optional<PeersTold> peers;
 };
 
 // Throws std::exception with one line that names the field.
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -55,6 +55,7 @@
   void client_gone(const std::string& id);
   void members(const Membership& update);
   void watch_failed();
+  void fleet(const FleetChanged& fleet) { happen(fleet); }
 
  private:
   struct Held {
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -15,6 +17,8 @@
 #include "discovery.h"
 #include "dispatcher.h"
 #include "frontend.h"
+#include "operators_file.h"
+#include "peers.h"
 #include "upstream.h"
 
 namespace {
@@ -73,6 +77,35 @@
   });
 }
 
+// Off unless the platform permits talk between nodes and the operators' file says so.
+std::unique_ptr<node::Peers> make_peers(asio::io_context& io, const node::Clock& clock,
+                                        const node::Config& config,
+                                        const thymewood::operators::FleetFile& fleet, node::Dispatcher& to) {
+  if (!fleet.enabled || !config.peers) return nullptr;
+  namespace ms = thymewood::membership;
+  ms::Self self;
+  self.number = static_cast<ms::Number>(config.settings.copy_index);
+  self.peers = static_cast<std::uint16_t>(config.peers->peers.size());
+  self.zone = static_cast<std::uint8_t>(config.settings.zone);
+  self.start_ms = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                 std::chrono::system_clock::now().time_since_epoch())
+                                                 .count());
+  self.fleet = ms::fleet_of(fleet.name);
+  return std::make_unique<node::Peers>(io, clock, *config.peers, self, fleet.plan, fleet.view, config.seed,
+                                       [&to](const ms::FleetView& view) {
+                                         to.fleet({view.rank, view.live, view.bound, view.moving});
+                                       });
+}
+
+// At each SIGUSR1, one line of the log.
+void report_on(asio::signal_set& asked, const node::Peers& peers) {
+  asked.async_wait([&asked, &peers](boost::system::error_code bad, int) {
+    if (bad) return;
+    std::clog << "fleet: " << peers.report() << '\n';
+    report_on(asked, peers);
+  });
+}
+
 int run(const char* path) {
   // Danger: a signal that comes before these stand would end the process. What comes between here and the
   // first wait is kept for it.
@@ -81,8 +114,11 @@
   asio::signal_set hangups(io, SIGHUP), signals(io, SIGTERM, SIGINT);
   const node::Clock clock;
   node::Config config;
+  thymewood::operators::OperatorsFile operators;
   try {
     config = node::read_config(path, clock);
+    if (const char* file = std::getenv("THYMEWOOD_OPERATORS"); file != nullptr && *file != '\0')
+      operators = thymewood::operators::read_operators_file(file);
   } catch (const std::exception& problem) {
     std::cerr << "thymewood: " << problem.what() << '\n';
     return kBadConfiguration;
@@ -110,10 +146,28 @@
     }
     dispatcher.start(config.known);
     frontend.start();
+    std::unique_ptr<node::Peers> peers;
+    asio::signal_set asked(io);
+    try {
+      peers = make_peers(io, clock, config, operators.fleet, dispatcher);
+    } catch (const boost::system::system_error& problem) {
+      std::cerr << "thymewood: peer_listen: " << problem.code().message() << '\n';
+      return kBadConfiguration;
+    }
+    if (peers) {
+      asked.add(SIGUSR1);
+      report_on(asked, *peers);
+      peers->start();
+    }
     std::clog << "thymewood " << config.name << ": listening on " << frontend.local() << '\n';
     reload_on(hangups, path, clock, discovery);
     signals.async_wait([&](boost::system::error_code bad, int) {
-      if (!bad) frontend.drain([&io] { io.stop(); });
+      // It says that it ends when it has ended: until then it sends, and has to be reckoned with.
+      if (!bad)
+        frontend.drain([&io, &peers] {
+          if (peers) peers->leave();
+          io.stop();
+        });
     });
     run_to_end(io);
   } catch (const std::invalid_argument& problem) {
--- /dev/null
+++ b/tests/fleet_membership_test.cpp
@@ -0,0 +1,154 @@
+// Nodes that know each other, as processes with faults between them: judged on how they see the fleet and on
+// the rules alike. Their times are a fifth of the usual, so that a day is short.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+
+#include "day.h"
+#include "views.h"
+
+namespace thymewood::fleet {
+namespace {
+
+constexpr const char* kHead = R"(
+seconds = 15
+settle = 0
+max_attempts = 4
+max_retry_after_ms = 500
+start_capacity = 0.32
+ramp_s = 2
+peers = true
+views_within = 7
+operators = """
+[fleet]
+enabled = true
+period_ms = 200
+answer_ms = 100
+hold_ms = 400
+calm_ms = 600
+"""
+[[class]]
+name = "note"
+share = 55
+aim_ms = 800
+give_up_ms = 2500
+effect = "keyed"
+scope = "cell"
+window_ms = 4000
+mean_ms = 20
+[[class]]
+name = "seal"
+share = 45
+aim_ms = 1500
+give_up_ms = 3000
+effect = "unsafe"
+mean_ms = 30
+[[node]]
+count = 3
+zone = 0
+[[node]]
+count = 2
+zone = 1
+[[servers]]
+count = 3
+workers = 4
+queue = 20
+zone = 0
+cell = 0
+cold = 0.32
+ramp_s = 2
+[[servers]]
+count = 3
+workers = 4
+queue = 20
+zone = 1
+cell = 1
+cold = 0.32
+ramp_s = 2
+[clients]
+retries = 2
+try_share = 0.5
+wait_ms = 50
+notice_s = 0.5
+[discovery]
+lag_ms = 50
+spread_ms = 200
+[[load]]
+rate = 60
+)";
+
+struct Played {
+  Day day;
+  History history;
+  // How a node saw the fleet at the end.
+  SeenView last(int number) const {
+    SeenView out;
+    for (const Record& r : history.records) {
+      if (r.by == Party{PartyKind::kNode, number}) {
+        if (const auto seen = seen_view(r)) out = *seen;
+      }
+    }
+    return out;
+  }
+  bool ever(int number, const std::string& confidence, double from = 0) const {
+    return std::any_of(history.records.begin(), history.records.end(), [&](const Record& r) {
+      const auto seen = seen_view(r);
+      return seen && r.t >= from && r.by == Party{PartyKind::kNode, number} && seen->confidence == confidence;
+    });
+  }
+};
+
+Played play(const std::string& name, const std::string& faults) {
+  const bench::Scenario scenario = bench::parse_scenario(kHead + faults, name);
+  DayOptions options;
+  options.program = NODE_PROGRAM;
+  options.folder = testing::TempDir() + "/fleet_views_" + std::to_string(::getpid()) + "_" + name;
+  options.slack = 0.5;
+  options.tries = 3;
+  Played out;
+  out.day = play_day(scenario, options);
+  out.history = History::read(out.day.history);
+  for (const Finding& f : out.day.verdict.broken) ADD_FAILURE() << f.t << " s, " << f.rule << ": " << f.what;
+  for (const std::string& what : out.day.verdict.blind) ADD_FAILURE() << "could not see: " << what;
+  EXPECT_TRUE(out.day.verdict.passed());
+  EXPECT_GT(out.day.figures.served, 300);
+  if (testing::Test::HasFailure()) {
+    std::fprintf(stderr, "kept for a look: %s\n", options.folder.c_str());
+  } else {
+    std::filesystem::remove_all(options.folder);
+  }
+  return out;
+}
+
+TEST(FleetMembership, MostAreKilledAtOnceAndTheRestKnowThemselvesCutOffUntilTheyAreBack) {
+  const Played p = play("killed", "[[fault]]\nat = 2\nlasts = 5\nwhat = \"kill\"\nwho = \"node:0-2\"\n");
+  for (const int survivor : {3, 4}) EXPECT_TRUE(p.ever(survivor, "cut off", 2));
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(p.last(i).confidence, "whole") << i;
+    EXPECT_EQ(p.last(i).bound, 5) << i;
+    EXPECT_EQ(p.last(i).live, 5) << i;
+    EXPECT_EQ(p.last(i).rank, i) << i;
+  }
+}
+
+TEST(FleetMembership, OneIsStoppedAndAnotherCutOffOneWayAndNobodyBelievesThatAllDied) {
+  const Played p =
+      play("paused",
+           "[[fault]]\nat = 2\nlasts = 4\nwhat = \"pause\"\nwho = \"node:1\"\n"
+           "[[fault]]\nat = 1\nlasts = 6\nwhat = \"cut_to\"\nwho = \"node:3\"\nto = \"node:4\"\n");
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(p.last(i).confidence, "whole") << i;
+  for (const int i : {0, 2, 3, 4}) EXPECT_FALSE(p.ever(i, "cut off", 2)) << i << ": a way round is found";
+}
+
+TEST(FleetMembership, AZoneIsCutOffFlappingAndHealsAndAPlannedRestartIsNoFailure) {
+  const Played p = play(
+      "cut",
+      "[[fault]]\nat = 1\nlasts = 2.4\nflap = 0.4\nwhat = \"cut\"\nwho = \"node:3-4\"\nto = \"node:0-2\"\n"
+      "[[fault]]\nat = 4\nlasts = 0.5\nwhat = \"restart\"\nwho = \"node:0\"\n");
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(p.last(i).confidence, "whole") << i;
+}
+
+}  // namespace
+}  // namespace thymewood::fleet
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -409,17 +409,21 @@
 // The program under test.
 class Program {
  public:
-  explicit Program(const std::string& config, rlim_t descriptors = 0, bool wait_for_start = true) {
+  // `operators`: the text of the operators' file; empty: none is named.
+  explicit Program(const std::string& config, rlim_t descriptors = 0, bool wait_for_start = true,
+                   const std::string& operators = "") {
     static std::atomic<int> count = 0;
     base_ = testing::TempDir() + "/node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
     std::ofstream(base_ + ".json") << config;
-    const std::string file = base_ + ".json", log = base_ + ".log";
+    const std::string file = base_ + ".json", log = base_ + ".log", own = base_ + ".toml";
+    if (!operators.empty()) std::ofstream(own) << operators;
     pid_ = ::fork();
     if (pid_ == 0) {
       const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
       ::dup2(out, 1);
       ::dup2(out, 2);
       ::setenv("RELAY_CONFIG", file.c_str(), 1);
+      if (!operators.empty()) ::setenv("THYMEWOOD_OPERATORS", own.c_str(), 1);
       if (descriptors > 0) {
         const rlimit limit{descriptors, descriptors};
         ::setrlimit(RLIMIT_NOFILE, &limit);
@@ -439,6 +443,7 @@
     if (testing::Test::HasFailure()) std::fputs(log().c_str(), stderr);
     std::remove((base_ + ".json").c_str());
     std::remove((base_ + ".log").c_str());
+    std::remove((base_ + ".toml").c_str());
   }
   Program(const Program&) = delete;
   Program& operator=(const Program&) = delete;
@@ -460,6 +465,12 @@
     return out.str();
   }
   void signal(int number) const { ::kill(pid_, number); }
+  // Ends it outright.
+  void kill() {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(std::exchange(pid_, -1), &status_, 0);
+  }
+  pid_t pid() const { return pid_; }
   // The number that its next descriptor would have. What it inherits is not the same everywhere.
   rlim_t next_descriptor() const {
     rlim_t out = 0;
@@ -515,16 +526,18 @@
 
 struct ConfigText {
   std::string discovery = "127.0.0.1:9", known = "", listen = "127.0.0.1:0", mode = "subscribe";
-  int sockets = 256, memory_mb = 192;
+  int sockets = 256, memory_mb = 192, position = 0, total = 1;
+  std::string peers = "";  // further fields of the whole
   std::string bounds = R"("cancel":true,"maxAttempts":3,"maxRetryAfter":2.0,"retryAfter":true,)"
                        R"("secondCopies":true,"dialTimeout":0.5,"idleClose":60.0)";
   std::string text() const {
     return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery +
            R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memory_mb) +
            R"(,"sockets":)" + std::to_string(sockets) + "}," +
-           (known.empty() ? "" : R"("known":)" + known + ",") +
-           R"("settings":{"azs":["a"],"peersTotal":1,"position":0,"stage":0,"zone":0,"granularity":0.005,)" +
-           R"("registryMode":")" + mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" +
+           (known.empty() ? "" : R"("known":)" + known + ",") + peers +
+           R"("settings":{"azs":["a"],"peersTotal":)" + std::to_string(total) + R"(,"position":)" +
+           std::to_string(position) + R"(,"stage":0,"zone":0,"granularity":0.005,)" + R"("registryMode":")" +
+           mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" +
            R"({"name":"look","aim":5.0,"giveUp":15.0,"effect":"safe","lateWorth":0.5},)" +
            R"({"name":"mark","aim":5.0,"giveUp":15.0,"effect":"keyed","group":"cell","dedupWindow":15.0,"lateWorth":0.5},)" +
            R"({"name":"close","aim":5.0,"giveUp":15.0,"effect":"unsafe","lateWorth":0.5}],)" +
