--- a/bench/membership/main.cpp
+++ b/bench/membership/main.cpp
@@ -74,8 +74,8 @@
   const double healed = net.now();
   const auto whole = [&] {
     for (int i = 0; i < nodes; ++i) {
-      for (Number k = 0; k < nodes; ++k) {
-        if (net.detector(i).record(k).state >= State::kFailed) return false;
+      for (int k = 0; k < nodes; ++k) {
+        if (net.detector(i).record(static_cast<Number>(k)).state >= State::kFailed) return false;
       }
     }
     return true;
--- a/fleet_rig/history/figures.cpp
+++ b/fleet_rig/history/figures.cpp
@@ -63,6 +63,7 @@
   std::unordered_map<std::string, Want> wants;
   std::unordered_map<std::string, const Record*> asks;
   std::map<int, Part> by_node, by_tenant;
+  std::map<int, double> by_server;
   std::set<int> disturbed;
   std::map<Party, Record> usage_first, usage_last;
   std::map<std::string, double> open_faults;
@@ -88,6 +89,7 @@
         break;
       case What::kCame:
         (r.by.kind == PartyKind::kServer ? out.first_tier : out.second_tier) += 1;
+        if (r.by.kind == PartyKind::kServer) by_server[r.by.number] += 1;
         if (second != nullptr)
           (r.by.kind == PartyKind::kServer ? second->first_tier : second->second_tier) += 1;
         break;
@@ -164,6 +166,9 @@
         [of = tenant](const bench::Flood& flood) { return static_cast<int>(flood.tenant) == of; });
     if (part.wanted >= kEnough && !floods) out.least_tenant = std::min(out.least_tenant, part.share());
   }
+  for (const auto& [server, came] : by_server)
+    out.most_server =
+        std::max(out.most_server, came * static_cast<double>(scenario.servers.size()) / out.first_tier);
   double cpu = 0;
   for (const auto& [party, last] : usage_last) {
     out.memory_kb = std::max(out.memory_kb, static_cast<double>(last.status));
--- a/fleet_rig/machine/machine.cpp
+++ b/fleet_rig/machine/machine.cpp
@@ -134,8 +134,8 @@
 
 void Machine::pause() {
   if (!running() || paused_) return;
-  // Danger: a process that waits in vfork(2) for a child that is stopped before its exec never stops itself. So
-  // the group is let go on for a moment, and stopped again.
+  // Danger: a process that waits in vfork(2) for a child that is stopped before its exec never stops itself.
+  // So the group is let go on for a moment, and stopped again.
   constexpr int kLooks = 100;
   for (;;) {
     ::kill(-pid_, SIGSTOP);
--- a/fleet_rig/planted.py
+++ b/fleet_rig/planted.py
@@ -112,7 +112,7 @@
     try:
         run(['git', 'clone', '-q', str(top), str(scratch / 'src')], check=True)
         run(['cmake', '-S', scratch / 'src', '-B', scratch / 'build', '-DCMAKE_BUILD_TYPE=Release',
-             '-DTHYMEWOOD_BUILD_ADAPTER=OFF', '-DTHYMEWOOD_BUILD_TESTS=ON'], check=True)
+             '-DTHYMEWOOD_BUILD_TESTS=ON'], check=True)
         print('| planted | tests | seen |\n| --- | --- | --- |', flush=True)
         missed += plant_views(scratch, wanted)
         print('| planted | day | has to be seen | seen |\n| --- | --- | --- | --- |', flush=True)
--- a/fleet_rig/run/main.cpp
+++ b/fleet_rig/run/main.cpp
@@ -26,14 +26,18 @@
   std::string node, against, logs = "logs/fleet", report;
   std::vector<std::uint64_t> seeds{1};
   double times = 1, slack = 0.05;
-  bool quiet = false;
+  bool quiet = false, alone = false;
 };
 
 std::string name_of(const std::string& file) { return std::filesystem::path(file).stem().string(); }
 
 Day play_one(const Choice& choice, const std::string& file, const std::string& program,
              const std::string& label, std::uint64_t seed) {
-  const bench::Scenario scenario = bench::read_scenario(file, choice.times);
+  bench::Scenario scenario = bench::read_scenario(file, choice.times);
+  if (choice.alone) {
+    scenario.operators.clear();
+    scenario.views_within = 0;
+  }
   DayOptions options;
   options.program = program;
   options.folder = choice.logs + "/" + name_of(file) + "-" + label + "-" + std::to_string(seed);
@@ -141,6 +145,7 @@
     to->add_option("--times", choice.times, "x the load of the files");
     to->add_option("--slack", choice.slack, "s by which a time limit may be missed");
     to->add_option("--logs", choice.logs, "where histories, configurations and logs go");
+    to->add_flag("--alone", choice.alone, "nodes get no operators' file: they do not know each other");
     to->add_flag("--quiet", choice.quiet, "no progress");
   };
   CLI::App* const runs = app.add_subcommand("run", "play days, and judge them");
--- a/node/peers.cpp
+++ b/node/peers.cpp
@@ -1,7 +1,6 @@
 #include "peers.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/post.hpp>
 #include <iostream>
 #include <limits>
 #include <sstream>
@@ -26,8 +25,7 @@
 
 Peers::Peers(asio::io_context& io, const Clock& clock, const PeersTold& told, const ms::Self& self,
              const ms::Plan& plan, const ms::ViewPlan& view, std::uint64_t seed, Moved moved)
-    : io_(io),
-      clock_(clock),
+    : clock_(clock),
       told_(told),
       socket_(io),
       timer_(io),
--- a/node/peers.h
+++ b/node/peers.h
@@ -51,7 +51,6 @@
   void send(const Endpoint& to, const membership::Datagram& datagram);
   static std::uint64_t key_of(const Endpoint& endpoint);
 
-  boost::asio::io_context& io_;
   const Clock& clock_;
   PeersTold told_;
   boost::asio::ip::udp::socket socket_;
