--- a/fleet_rig/run/day.cpp
+++ b/fleet_rig/run/day.cpp
@@ -45,10 +45,10 @@
 }
 
 void print_head(std::FILE* to) {
-  std::fprintf(to, "%-16s %-6s %4s %7s %7s %7s %6s %6s %6s %6s %6s %7s %6s %6s %6s %6s %6s %7s %6s %6s %6s\n",
-               "day", "node", "seed", "wanted", "served%", "intime%", "refus%", "fail%", "tries", "tier1",
-               "tier2", "worst1s", "p50", "p99", "recov", "node%", "ten%", "cpu/try", "late", "excus",
-               "broken");
+  std::fprintf(
+      to, "%-16s %-6s %4s %7s %7s %7s %6s %6s %6s %6s %6s %7s %6s %6s %6s %6s %6s %6s %7s %6s %6s %6s\n",
+      "day", "node", "seed", "wanted", "served%", "intime%", "refus%", "fail%", "tries", "tier1", "tier2",
+      "worst1s", "p50", "p99", "recov", "node%", "ten%", "srvmax", "cpu/try", "late", "excus", "broken");
 }
 
 void print_row(std::FILE* to, const std::string& day, const std::string& node, std::uint64_t seed,
@@ -57,13 +57,13 @@
   const double wanted = std::max(1.0, f.wanted);
   std::fprintf(to,
                "%-16s %-6s %4llu %7.0f %7.2f %7.2f %6.2f %6.2f %6.3f %6.3f %6.3f %7.3f %6.0f %6.0f %6.1f "
-               "%6.2f %6.2f %7.0f "
+               "%6.2f %6.2f %6.2f %7.0f "
                "%6.3f %6llu %6zu%s\n",
                day.c_str(), node.c_str(), static_cast<unsigned long long>(seed), f.wanted,
                kPercent * f.served_part(), kPercent * f.in_time_part(), kPercent * f.refused / wanted,
                kPercent * f.failed / wanted, f.tries, f.first_tier, f.second_tier, f.worst_second,
                kMilli * f.p50, kMilli * f.p99, f.recovery, kPercent * f.least_node, kPercent * f.least_tenant,
-               f.cpu_us, d.verdict.latest, static_cast<unsigned long long>(d.verdict.excused),
+               f.most_server, f.cpu_us, d.verdict.latest, static_cast<unsigned long long>(d.verdict.excused),
                d.verdict.broken.size(),
                d.verdict.void_run         ? "  VOID: the rig ran late"
                : !d.verdict.blind.empty() ? "  BLIND"
--- a/tests/membership_detector_test.cpp
+++ b/tests/membership_detector_test.cpp
@@ -262,6 +262,22 @@
   EXPECT_EQ(failed, 0) << "of " << suspected << " that it suspected";
 }
 
+// Its own link is the likelier fault: it takes longer over everything, and accuses the fewer.
+TEST(Detector, ANodeThatHearsNobodyDoubtsItself) {
+  Net net(20, 3);
+  net.start_all();
+  net.run(30);
+  const std::uint64_t before = net.detector(7).counts().pings;
+  net.passes = [](int, int to) { return to != 7; };
+  net.run(90);
+  EXPECT_EQ(net.detector(7).doubt(), Plan{}.most_doubt);
+  EXPECT_LT(net.detector(7).counts().pings - before, 20u) << "of 90 without doubt";
+  EXPECT_EQ(net.view(7).confidence, Confidence::kCutOff);
+  net.passes = {};
+  EXPECT_TRUE(net.run_until(200, [&] { return net.agree() && net.detector(7).doubt() == 0; }))
+      << "and gets over it";
+}
+
 // ---------------------------------------------------------------- false datagrams
 
 Message from_node(Net& net, int from) {
