--- a/tests/membership_view_test.cpp
+++ b/tests/membership_view_test.cpp
@@ -145,18 +145,32 @@
   std::mt19937_64 random(3);
   std::uint32_t stamp = 0;
   std::vector<Incarnation> lives(12, incarnation_of(1000));
-  for (double t = 0; t < 600; t += 0.25) {
-    // Each says now and then that it ends, or begins a new life.
-    const auto who = static_cast<Number>(1 + random() % 11);
+  const auto say = [&](double t, Kind kind, Number who, std::uint32_t answers) {
     Message m;
-    m.kind = random() % 2 == 0 ? Kind::kLeaving : Kind::kAck;
-    m.from = who;
+    m.kind = kind;
+    m.from = m.target = who;
     m.fleet = 1;
     m.stamp = ++stamp;
-    lives[who] += Incarnation{1} << kObjectionBits;
+    m.answers = answers;
     m.incarnation = lives[who];
+    std::vector<Output> ignored;
+    detector.receive(t, who, encode(m).view(), ignored);
+  };
+  for (double t = 0; t < 600; t += 0.25) {
+    // Whoever is pinged answers.
     out.clear();
-    detector.receive(t, who, encode(m).view(), out);
+    detector.tick(t, out);
+    for (const Output& o : out) {
+      const auto* post = std::get_if<Post>(&o);
+      Message ping;
+      if (post != nullptr && decode(post->datagram.view(), 1, 12, ping) == Fault::kNone &&
+          ping.kind == Kind::kPing)
+        say(t, Kind::kAck, ping.target, ping.stamp);
+    }
+    // Each says now and then that it ends, or begins a new life.
+    const auto who = static_cast<Number>(1 + random() % 11);
+    lives[who] += Incarnation{1} << kObjectionBits;
+    say(t, random() % 2 == 0 ? Kind::kLeaving : Kind::kAck, who, 0);
     if (const auto view = views.update(t, detector)) {
       if (view->confidence > Confidence::kCutOff && before.confidence > Confidence::kCutOff &&
           (view->rank != before.rank || view->live != before.live)) {
