--- a/fleet_rig/history/judges.cpp
+++ b/fleet_rig/history/judges.cpp
@@ -302,6 +302,7 @@
   judge_cold(history, rules, out);
   judge_abandoned(history, rules, out);
   judge_views(history, rules, out);
+  judge_levels(history, rules, out);
   if (out.asked == 0) out.blind.emplace_back("nobody asked anything");
   return out;
 }
--- a/fleet_rig/history/judges.h
+++ b/fleet_rig/history/judges.h
@@ -29,8 +29,8 @@
 };
 
 struct Finding {
-  std::string
-      rule;  // one-final-answer, no-double-effect, drains-kept, cold-servers, abandoned, fleet-views, crash
+  std::string rule;  // one-final-answer, no-double-effect, drains-kept, cold-servers, abandoned, fleet-views,
+                     // levels, crash
   std::string what;
   double t = 0;
 };
@@ -56,6 +56,9 @@
 // fleet-views: a node that says that it reckons with fewer nodes than there are (`bound-kept` in its words),
 // or sees another fleet than there is though nothing has changed for `views_within`.
 void judge_views(const History& history, const Rules& rules, Verdict& verdict);
+// levels: a node that holds more descriptors or memory long after the last fault than any did before the
+// first. Days that begin with a fault, or end soon after one, say nothing of it.
+void judge_levels(const History& history, const Rules& rules, Verdict& verdict);
 void judge_abandoned(const History& history, const Rules& rules, Verdict& verdict);
 
 }  // namespace thymewood::fleet
--- a/tests/fleet_judges_test.cpp
+++ b/tests/fleet_judges_test.cpp
@@ -276,6 +276,33 @@
                   .verdict());
 }
 
+// Usage of two nodes each second of twenty, with a fault from 5 to 8 s; node 1 ends as it is said.
+Story with_usage(int descriptors, int kilobytes, double healed = 8) {
+  Story s;
+  s.ask(0.5, "a").answer(0.6, "a", 200);
+  s.of(5, What::kFault, kList).of(healed, What::kHealed, kList);
+  for (int t = 1; t < 19; ++t) {
+    for (int n = 0; n < 2; ++n) {
+      const bool late = n == 1 && t > 8;
+      Record r;
+      r.t = t;
+      r.what = What::kUsage;
+      r.by = node(n);
+      r.count = late ? descriptors : 40;
+      r.status = late ? kilobytes : 9000;
+      s.add(r);
+    }
+  }
+  return s;
+}
+
+TEST(Levels, OfDescriptorsAndMemoryHaveToComeBack) {
+  expect_well(with_usage(60, 12000).verdict());
+  expect_only(with_usage(100, 9000).verdict(), "levels");
+  expect_only(with_usage(40, 30000).verdict(), "levels");
+  expect_well(with_usage(100, 30000, 15).verdict());  // too soon to say
+}
+
 TEST(Crashes, AreSeen) {
   expect_only(Story().ask(1, "a").answer(1.1, "a", 503).of(2, What::kCrash, node(3)).verdict(), "crash");
 }
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -46,14 +46,15 @@
   explicit Fleet(int count) : addresses_(io_) {
     for (int i = 0; i < count; ++i) peers_.push_back(addresses_.udp(1, i + 1, kPort));
   }
-  ConfigText config(int number) const {
+  // Of a node that is told of `told` of them; -1: of all.
+  ConfigText config(int number, int told = -1) const {
+    const std::size_t count = told < 0 ? peers_.size() : static_cast<std::size_t>(told);
     ConfigText out;
     out.bounds = kPermitted;
     out.position = number;
-    out.total = static_cast<int>(peers_.size());
+    out.total = static_cast<int>(count);
     out.peers = "\"peer_listen\":\"" + text_of(peers_[static_cast<std::size_t>(number)]) + "\",\"peers\":[";
-    for (std::size_t i = 0; i < peers_.size(); ++i)
-      out.peers += (i == 0 ? "\"" : ",\"") + text_of(peers_[i]) + "\"";
+    for (std::size_t i = 0; i < count; ++i) out.peers += (i == 0 ? "\"" : ",\"") + text_of(peers_[i]) + "\"";
     out.peers += "],";
     return out;
   }
@@ -179,6 +180,32 @@
   EXPECT_EQ(nodes[0]->logged("-> failed"), 0);
 }
 
+TEST(Peers, AFleetThatGrowsIsOneOnceAllAreToldOfAll) {
+  const Fleet fleet(4);
+  std::vector<std::unique_ptr<Program>> nodes;
+  for (int i = 0; i < 2; ++i)
+    nodes.push_back(std::make_unique<Program>(fleet.config(i, 2).text(), 0, true, kOn));
+  for (const auto& node : nodes)
+    EXPECT_TRUE(eventually([&] { return sees(*node, "reaches 2 of 2, whole"); }));
+  for (int i = 2; i < 4; ++i) nodes.push_back(fleet.start(i));
+  EXPECT_TRUE(eventually([&] { return nodes[2]->logged("fleet: peer 0 suspect -> failed") > 0; }))
+      << "the old ones do not know it, and do not answer";
+  EXPECT_TRUE(eventually([&] {
+    return sees(*nodes[2], "rank 2 of 4, reckons with 4") && sees(*nodes[2], "cut off");
+  })) << "as it was told: "
+      << view_of(*nodes[2]);
+  for (int i = 0; i < 2; ++i) {
+    Program& old = *nodes[static_cast<std::size_t>(i)];
+    EXPECT_TRUE(sees(old, "reaches 2 of 2, whole"));
+    EXPECT_EQ(old.logged("-> failed"), 0);
+    nodes[static_cast<std::size_t>(i)].reset();  // told to end, and started with the longer list
+    nodes[static_cast<std::size_t>(i)] = fleet.start(i);
+  }
+  for (const auto& node : nodes)
+    EXPECT_TRUE(eventually([&] { return sees(*node, "of 4, reckons with 4, reaches 4 of 4, whole"); }))
+        << view_of(*node);
+}
+
 TEST(Peers, ASignalBringsWhatItSeesAsALineOfJson) {
   const Fleet fleet(2);
   const auto a = fleet.start(0), b = fleet.start(1);
