--- a/fleet_rig/history/levels.cpp
+++ b/fleet_rig/history/levels.cpp
@@ -49,7 +49,10 @@
     descriptors = std::max<double>(descriptors, r.count);
     memory = std::max<double>(memory, r.status);
   }
-  if (descriptors == 0) return verdict.blind.emplace_back("no node's usage before the first fault");
+  if (descriptors == 0) {
+    verdict.blind.emplace_back("no node's usage before the first fault");
+    return;
+  }
   for (const auto& [party, r] : newest) {
     if (r->t < end - 2) continue;  // it had ended
     if (r->count > kMoreDescriptors * descriptors + kFewDescriptors)
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -195,9 +195,11 @@
   })) << "as it was told: "
       << view_of(*nodes[2]);
   for (int i = 0; i < 2; ++i) {
-    Program& old = *nodes[static_cast<std::size_t>(i)];
-    EXPECT_TRUE(sees(old, "reaches 2 of 2, whole"));
+    const Program& old = *nodes[static_cast<std::size_t>(i)];
+    EXPECT_TRUE(sees(old, "reaches 2 of 2, whole")) << view_of(old);
     EXPECT_EQ(old.logged("-> failed"), 0);
+  }
+  for (int i = 0; i < 2; ++i) {
     nodes[static_cast<std::size_t>(i)].reset();  // told to end, and started with the longer list
     nodes[static_cast<std::size_t>(i)] = fleet.start(i);
   }
