--- a/fleet_rig/cast/asker.h
+++ b/fleet_rig/cast/asker.h
@@ -41,6 +41,7 @@
   // One that waits for ever says nothing to the history: GET /_health, whether it was answered 200.
   boost::asio::awaitable<bool> healthy();
   void forget() { kept_.clear(); }
+  std::size_t kept() const { return kept_.size(); }  // connections open and not in use
   const Party& node() const { return node_; }
 
  private:
--- a/fleet_rig/cast/callers.h
+++ b/fleet_rig/cast/callers.h
@@ -27,6 +27,8 @@
   void expect(int node);
   // A node has died, or is about to; the front learns of it so many seconds later.
   void lost(int node, double after);
+  // Connections to it that are open and not in use.
+  std::size_t kept(int node) const { return nodes_.at(static_cast<std::size_t>(node)).asker->kept(); }
   std::size_t up() const;  // nodes that the front believes to be up
 
   // The load begins; its time 0 is the history's.
--- a/fleet_rig/history/record.h
+++ b/fleet_rig/history/record.h
@@ -37,11 +37,12 @@
     kHealed,    // `note` is over
     kBadLink,   // between `by` and `to` nothing is sure from here ...
     kGoodLink,  // ... to here
-    kUsage,     // of a node: cpu `work` s so far, memory `status` kB, descriptors `count`
-    kOpen,      // `count` connections are open at all servers
-    kView,      // node `by` says in its log how it sees the fleet: `note`, see views.h
-    kLate,      // the rig itself ran late by `work` s
-    kClosed     // `by` has written all that it saw
+    kUsage,  // of a node: cpu `work` s so far, memory `status` kB, descriptors `count`, `tier` of them kept
+             // open by its callers
+    kOpen,   // `count` connections are open at all servers
+    kView,   // node `by` says in its log how it sees the fleet: `note`, see views.h
+    kLate,   // the rig itself ran late by `work` s
+    kClosed  // `by` has written all that it saw
   };
   double t = 0;
   What what = What::kParty;
--- a/fleet_rig/run/fleet.cpp
+++ b/fleet_rig/run/fleet.cpp
@@ -341,6 +341,8 @@
       r.work = usage.cpu_s;
       r.status = static_cast<int>(usage.memory_kb);
       r.count = usage.descriptors;
+      r.tier = static_cast<int>(party.kind == PartyKind::kNode ? callers_->kept(party.number)
+                                                               : node.calls->kept());
       history_.add(r);
     }
     std::size_t open = 0;
