--- a/membership/detector.cpp
+++ b/membership/detector.cpp
@@ -76,7 +76,7 @@
   const double least = least_suspicion(plan_, table_.size()), most = plan_.suspicion_most * least;
   // No more can be expected than there are others who could accuse.
   const auto wanted = std::min<std::size_t>(static_cast<std::size_t>(plan_.accusers),
-                                            table_.size() > 3 ? table_.size() - 3 : 1);
+                                            table_.size() > 3 ? table_.size() - 2 : 1);
   const double more = static_cast<double>(s.accusers.size() - 1);
   const double part = std::log(more + 1) / std::log(static_cast<double>(wanted) + 1);
   return s.begun + s.extended + std::max(least, most - (most - least) * part);
