A node cut off from nodes and servers alike refuses at once, where operators choose that

Off unless refuse_when_cut_off is set. Cause of a second change: a node whose only peer never answered called itself whole until it was failed, for a peer counted as reached before anything was heard of it; seen in the log of the new test. Now it counts from its first word (view.cpp).

--- a/bench/membership/membership_net.h
+++ b/bench/membership/membership_net.h
@@ -38,7 +38,8 @@
     std::vector<Change> changes;
     std::vector<double> changed;  // when
     std::vector<std::string> remarks;
-    int moves = 0;  // of rank or live
+    int moves = 0;                         // of rank or live
+    Confidence best = Confidence::kAlone;  // that it ever had
   };
 
   Net(int nodes, std::uint64_t seed, Plan plan = {}, ViewPlan views = {})
@@ -210,6 +211,7 @@
     if (n.views) {
       const FleetView before = n.views->now();
       if (const auto view = n.views->update(now_, *n.detector)) {
+        n.best = std::max(n.best, view->confidence);
         if (view->rank != before.rank || view->live != before.live) n.moves += 1;
       }
     }
--- a/membership/view.cpp
+++ b/membership/view.cpp
@@ -39,7 +39,7 @@
   if (detector.conflict()) return Confidence::kCutOff;
   if (others <= 0) return Confidence::kWhole;
   const Detector::Reach reach = detector.reach();
-  if (reach.asked == 0) return Confidence::kCutOff;
+  if (reach.answered == 0) return Confidence::kCutOff;
   if (reach.asked >= kLeastSample && 2 * reach.answered <= reach.asked) return Confidence::kCutOff;
   if (2 * reached <= others + 1) return Confidence::kCutOff;
   return reached == others + 1 ? Confidence::kWhole : Confidence::kPart;
@@ -59,7 +59,7 @@
     const bool own = i == self_.number;
     const bool there = own || r.state < State::kFailed;
     if (!own && r.state == State::kLeft) ++left;
-    if (own || r.state == State::kAlive) {
+    if (own || (r.state == State::kAlive && r.incarnation > 0)) {
       out.reached += 1;
       out.zones[r.zone] += 1;
     }
--- a/membership/view.h
+++ b/membership/view.h
@@ -34,7 +34,7 @@
   int bound = 1;
   bool moving = false;  // others may see another fleet for now: somebody comes or goes, or has just done so
   int told = 1;
-  int reached = 1;  // held to be alive now, this one included
+  int reached = 1;  // heard of and held to be alive, this one included
   Confidence confidence = Confidence::kAlone;
   std::map<int, int> zones;  // reached, by zone
   bool operator==(const FleetView&) const = default;
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -53,7 +53,7 @@
 
 void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, Asker asker) {
   // Turned away before the module hears of it, as the settings have it.
-  if (held_.size() >= max_open_) {
+  if (held_.size() >= max_open_ || (isolation_ && isolation_->refuses(clock_.now()))) {
     return asker.answer_to({Answer::Kind::kRefused, busy_retry_after_, {}});
   }
   const std::string id = event.id;
@@ -117,6 +117,11 @@
   happen(std::move(event));
 }
 
+void Dispatcher::fleet(const membership::FleetView& view) {
+  if (isolation_) isolation_->sees(view.confidence);
+  happen(FleetChanged{view.rank, view.live, view.bound, view.moving});
+}
+
 void Dispatcher::watch_failed() {
   happen(MembershipUpdate{MembershipUpdate::Form::kFailed, {}});
   if (must_watch_) return;
@@ -172,6 +177,11 @@
   if (at == held_.end()) return;
   Held& held = at->second;
   held.open[static_cast<std::size_t>(attempt)] = false;
+  // Called off or not sent, an attempt says nothing of its server.
+  const bool says = end.outcome != Outcome::kCancelled && end.outcome != Outcome::kNotSent;
+  if (isolation_ && says)
+    isolation_->attempt_ended(clock_.now(),
+                              end.outcome != Outcome::kDialFailed && end.outcome != Outcome::kTimedOut);
   if (end.outcome == Outcome::kDelivered && !held.over()) {
     answer(held, {Answer::Kind::kServed, 0, std::move(end.response)});
   }
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -14,6 +15,7 @@
 
 #include "clock.h"
 #include "discovery.h"
+#include "isolation.h"
 #include "message.h"
 #include "thymewood/balancer.h"
 #include "upstream.h"
@@ -46,7 +48,7 @@
 
   // The list that is known from before, if any, then the start.
   void start(const Membership& known);
-  bool can_serve() const { return ready_ > 0; }
+  bool can_serve() const { return ready_ > 0 && !(isolation_ && isolation_->isolated()); }
 
   // Takes a request whose client waits until `event.time_left` from now. The answer may come at once.
   void take(Request event, std::shared_ptr<const HttpRequest> message, Asker asker);
@@ -55,7 +57,10 @@
   void client_gone(const std::string& id);
   void members(const Membership& update);
   void watch_failed();
-  void fleet(const FleetChanged& fleet) { happen(fleet); }
+  // How the fleet is seen from now on.
+  void fleet(const membership::FleetView& view);
+  // From now on callers are refused at once while this node is cut off from nodes and servers alike.
+  void refuse_when_cut_off(const membership::IsolationPlan& plan) { isolation_.emplace(plan); }
 
  private:
   struct Held {
@@ -96,6 +101,7 @@
   std::size_t max_open_;
   double busy_retry_after_;
   std::vector<Effect> effects_;  // by class
+  std::optional<membership::Isolation> isolation_;
   Upstream& upstream_;
   List list_;
   double list_seen_ = 0;  // when the list was last brought up to date
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -91,10 +91,9 @@
                                                  std::chrono::system_clock::now().time_since_epoch())
                                                  .count());
   self.fleet = ms::fleet_of(fleet.name);
+  if (fleet.refuse_when_cut_off) to.refuse_when_cut_off({});
   return std::make_unique<node::Peers>(io, clock, *config.peers, self, fleet.plan, fleet.view, config.seed,
-                                       [&to](const ms::FleetView& view) {
-                                         to.fleet({view.rank, view.live, view.bound, view.moving});
-                                       });
+                                       [&to](const ms::FleetView& view) { to.fleet(view); });
 }
 
 // At each SIGUSR1, one line of the log.
--- a/operators/operators_file.cpp
+++ b/operators/operators_file.cpp
@@ -101,6 +101,7 @@
   out.view.forgive = 60 * out.plan.period;
   t.ms("hold_ms", 0, 600000, out.view.hold);
   t.ms("calm_ms", 0, 600000, out.view.calm);
+  t.flag("refuse_when_cut_off", out.refuse_when_cut_off);
   t.ms("forgive_ms", 1, 86400000, out.view.forgive);
   t.end();
   return out;
--- a/operators/operators_file.h
+++ b/operators/operators_file.h
@@ -14,6 +14,7 @@
   std::string name = "thymewood";
   membership::Plan plan;
   membership::ViewPlan view;
+  bool refuse_when_cut_off = false;  // cut off from nodes and servers alike, callers are told so at once
 };
 
 struct OperatorsFile {
--- a/tests/membership_view_test.cpp
+++ b/tests/membership_view_test.cpp
@@ -30,6 +30,8 @@
   net.start(4);
   net.run(300);
   EXPECT_EQ(net.view(4).confidence, Confidence::kCutOff);
+  EXPECT_EQ(net.view(4).reached, 1);
+  EXPECT_EQ(net.node(4).best, Confidence::kCutOff) << "at no moment was it anything else";
   EXPECT_EQ(net.view(4).rank, 4);
   EXPECT_EQ(net.view(4).live, 9) << "all silent: as the node of before";
   EXPECT_EQ(net.view(4).bound, 9);
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -280,17 +280,21 @@
 class FakeServer {
  public:
   using Reply = std::function<bool(Wire&, const std::string& request)>;
-  explicit FakeServer(Reply reply)
-      : reply_(std::move(reply)), listener_([this](Wire& wire) {
-          for (std::string request = wire.read_message(); !request.empty(); request = wire.read_message()) {
-            {
-              const std::lock_guard lock(mutex_);
-              requests_.push_back(request);
-            }
-            if (!reply_(wire, request)) return;
-          }
-          ++ended_;
-        }) {}
+  explicit FakeServer(Reply reply, int port = 0)
+      : reply_(std::move(reply)),
+        listener_(
+            [this](Wire& wire) {
+              for (std::string request = wire.read_message(); !request.empty();
+                   request = wire.read_message()) {
+                {
+                  const std::lock_guard lock(mutex_);
+                  requests_.push_back(request);
+                }
+                if (!reply_(wire, request)) return;
+              }
+              ++ended_;
+            },
+            port) {}
   std::string address() const { return listener_.address(); }
   Listener& listener() { return listener_; }
   std::vector<std::string> requests() {
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -16,7 +16,7 @@
 constexpr const char* kOn =
     "[fleet]\nenabled = true\nperiod_ms = 100\nanswer_ms = 50\nhold_ms = 200\ncalm_ms = 300\n";
 constexpr const char* kPermitted =
-    R"("cancel":true,"maxAttempts":3,"peers":true,"dialTimeout":0.5,"idleClose":60.0)";
+    R"("cancel":true,"maxAttempts":3,"maxRetryAfter":2.0,"retryAfter":true,"peers":true,"dialTimeout":0.5,"idleClose":60.0)";
 
 // How many UDP sockets a process holds, as the system tells.
 int udp_sockets(pid_t pid) {
@@ -208,6 +208,50 @@
         << view_of(*node);
 }
 
+// Cut off from nodes and from servers alike, by the operators' choice: said at once, and over as soon as a
+// server answers again.
+TEST(Peers, ANodeThatIsCutOffFromAllSaysSoWhereOperatorsChoose) {
+  for (const bool chosen : {true, false}) {
+    const Fleet fleet(2);
+    auto server = std::make_unique<FakeServer>(replies(200, "ok"));
+    const std::string address = server->address();
+    const int port = std::stoi(address.substr(address.find(':') + 1));
+    ConfigText config = fleet.config(0);
+    config.known = list(7, true, member("s0", address));
+    const std::string operators = std::string(kOn) + (chosen ? "refuse_when_cut_off = true\n" : "");
+    Program node(config.text(), 0, true, operators);
+    const auto health = [&node] {
+      Wire wire = Wire::to(node.port());
+      wire.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+      return status_of(wire.read_message());
+    };
+    const auto ask = [&node] {
+      static int asked = 0;
+      Wire wire = Wire::to(node.port());
+      wire.write(Ask{.id = "c" + std::to_string(++asked), .timeout = "2000"}.text());
+      return wire.read_message();
+    };
+    EXPECT_EQ(status_of(ask()), 200) << "nobody else is there, and it serves";
+    EXPECT_EQ(health(), 200);
+    server.reset();
+    if (chosen) {
+      EXPECT_TRUE(eventually([&] {
+        ask();
+        return health() == 503;
+      }));
+      EXPECT_NE(field_of(ask(), "Retry-After"), "");
+    } else {
+      for (int i = 0; i < 40; ++i) ask();
+      EXPECT_EQ(health(), 200);
+    }
+    FakeServer back(replies(200, "ok"), port);
+    EXPECT_TRUE(eventually([&] {
+      ask();
+      return health() == 200 && status_of(ask()) == 200;
+    })) << chosen;
+  }
+}
+
 TEST(Peers, ASignalBringsWhatItSeesAsALineOfJson) {
   const Fleet fleet(2);
   const auto a = fleet.start(0), b = fleet.start(1);
