--- /dev/null
+++ b/tests/fleet_day.h
@@ -0,0 +1,49 @@
+// Plays a short day with the node that was built, and holds what every day has to keep: the rules, judges
+// that could see, and a rig that was in time. What is peculiar to a day is for its test.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <string>
+
+#include "day.h"
+
+namespace thymewood::fleet {
+
+// s; of a machine that others use too. The rules that are held here are broken by seconds.
+constexpr double kTestSlack = 0.5;
+
+struct PlayedDay {
+  Day day;
+  History history;
+};
+
+// `text` is the scenario.
+inline PlayedDay play_here(const std::string& text, const std::string& name) {
+  const bench::Scenario scenario = bench::parse_scenario(text, name);
+  DayOptions options;
+  options.program = NODE_PROGRAM;
+  options.folder = testing::TempDir() + "/fleet_" + std::to_string(::getpid()) + "_" + name;
+  options.slack = kTestSlack;
+  options.tries = 3;
+  PlayedDay out;
+  out.day = play_day(scenario, options);
+  out.history = History::read(out.day.history);
+  for (const Finding& f : out.day.verdict.broken) ADD_FAILURE() << f.t << " s, " << f.rule << ": " << f.what;
+  for (const std::string& what : out.day.verdict.blind) ADD_FAILURE() << "could not see: " << what;
+  EXPECT_FALSE(out.day.verdict.void_run) << "the rig ran late by " << out.day.verdict.latest;
+  EXPECT_TRUE(out.day.verdict.passed());
+  EXPECT_GT(out.day.verdict.asked, 200u);
+  EXPECT_GT(out.day.figures.served, 100);
+  if (testing::Test::HasFailure()) {
+    std::fprintf(stderr, "kept for a look: %s\n", options.folder.c_str());
+  } else {
+    std::filesystem::remove_all(options.folder);
+  }
+  return out;
+}
+
+}  // namespace thymewood::fleet
