--- a/bench/model/fleet_tables.h
+++ b/bench/model/fleet_tables.h
@@ -33,15 +33,16 @@
 struct Fault {
   enum class What {
     // of machines
-    kKill,         // ended outright; starts again after `lasts`
-    kRestart,      // SIGTERM, then SIGKILL when it may be killed; starts again
-    kPause,        // stopped for `lasts`
-    kStarve,       // gets `share` of a core
-    kDescriptors,  // may hold no more than `count`
-    kDiskFull,     // what it writes to files fails
-    kDiskFails,    // `share` of its writes to files, and all syncs, fail
-    kDiskSlow,     // each write and sync takes `delay` longer
-    kClock,        // its time of day is wrong by `shift`
+    kKill,          // ended outright; starts again after `lasts`
+    kRestart,       // SIGTERM, then SIGKILL when it may be killed; starts again
+    kPause,         // stopped for `lasts`
+    kStarve,        // gets `share` of a core
+    kDescriptors,   // may hold no more than `count`
+    kDiskFull,      // what it writes to files fails
+    kDiskFails,     // `share` of its writes to files, and all syncs, fail
+    kDiskReadOnly,  // all its writes, syncs and renames fail as on a file system that is read-only
+    kDiskSlow,      // each write and sync takes `delay` longer
+    kClock,         // its time of day is wrong by `shift`
     // of links
     kCut,       // black hole, both ways
     kCutTo,     // black hole from `who` to `to` alone
--- a/bench/model/scenario_file.cpp
+++ b/bench/model/scenario_file.cpp
@@ -241,6 +241,7 @@
     {"descriptors", Fault::What::kDescriptors},
     {"disk_full", Fault::What::kDiskFull},
     {"disk_fails", Fault::What::kDiskFails},
+    {"disk_read_only", Fault::What::kDiskReadOnly},
     {"disk_slow", Fault::What::kDiskSlow},
     {"clock", Fault::What::kClock},
     {"cut", Fault::What::kCut},
@@ -262,6 +263,7 @@
     case Fault::What::kDescriptors:
     case Fault::What::kDiskFull:
     case Fault::What::kDiskFails:
+    case Fault::What::kDiskReadOnly:
     case Fault::What::kDiskSlow:
     case Fault::What::kClock:
       return true;
--- a/fleet_rig/run/fleet.cpp
+++ b/fleet_rig/run/fleet.cpp
@@ -62,8 +62,8 @@
 // Loaded only where a day needs it: without it a node is as it is shipped.
 bool wants_shim(const bench::Scenario& scenario) {
   return std::any_of(scenario.faults.begin(), scenario.faults.end(), [](const Fault& f) {
-    return f.what == Fault::What::kDiskFails || f.what == Fault::What::kDiskSlow ||
-           f.what == Fault::What::kClock;
+    return f.what == Fault::What::kDiskFails || f.what == Fault::What::kDiskReadOnly ||
+           f.what == Fault::What::kDiskSlow || f.what == Fault::What::kClock;
   });
 }
 
@@ -75,6 +75,10 @@
       plan.write_errno = on ? EIO : 0;
       plan.sync_errno = on ? EIO : 0;
       break;
+    case Fault::What::kDiskReadOnly:
+      plan.write_every = 1;
+      plan.write_errno = plan.sync_errno = plan.rename_errno = on ? EROFS : 0;
+      break;
     case Fault::What::kDiskSlow:
       plan.delay_us = on ? static_cast<std::uint32_t>(fault.delay * 1e6) : 0;
       break;
--- a/tests/fleet_model_test.cpp
+++ b/tests/fleet_model_test.cpp
@@ -94,6 +94,7 @@
       {"[[fault]]\nwhat = \"pause\"\nwho = \"zone:0\"\n", "meets nodes alone"},
       {"[[fault]]\nwhat = \"pause\"\nwho = \"node:0\"\nto = \"server:0\"\n", "'to' is for faults of links"},
       {"[[fault]]\nwhat = \"clock\"\nwho = \"server:0\"\n", "meets nodes alone"},
+      {"[[fault]]\nwhat = \"disk_read_only\"\nwho = \"server:0\"\n", "meets nodes alone"},
       {"[[fault]]\nwhat = \"lag\"\nwho = \"node:0\"\n", "meets discovery alone"},
       {"[[fault]]\nwhat = \"slow_link\"\nwho = \"node:0\"\n", "bytes a second"},
       {"[[fault]]\nwhat = \"starve\"\nwho = \"node:0\"\nshare = 1\n", "between 0 and 1"},
