--- a/fleet_rig/planted.py
+++ b/fleet_rig/planted.py
@@ -81,26 +81,35 @@
     return subprocess.run(command, text=True, capture_output=True, **more)
 
 
+def plant(scratch, file, old, new, target):
+    """Plants it and builds; what stood there before, and why it could not be done, empty where it was."""
+    path = scratch / 'src' / file
+    text = path.read_text()
+    if text.count(old) != 1:
+        return text, f'NOT PLANTED: its text stands {text.count(old)} times in {file}'
+    path.write_text(text.replace(old, new))
+    built = run(['cmake', '--build', scratch / 'build', '-j', '8', '--target', target])
+    return text, '' if built.returncode == 0 else 'NOT BUILT ' + built.stderr[-2000:]
+
+
 def plant_views(scratch, wanted):
     missed = 0
     for name, file, old, new in PLANTED_VIEWS:
         if wanted and name not in wanted:
             continue
-        path = scratch / 'src' / file
-        text = path.read_text()
-        if text.count(old) != 1:
-            print(f'| {name} | membership_tests | NOT PLANTED: its text stands {text.count(old)} times in {file} |')
+        text, why = plant(scratch, file, old, new, 'membership_tests')
+        if why:
+            print(f'| {name} | membership_tests | {why} |', flush=True)
+            (scratch / 'src' / file).write_text(text)
             missed += 1
             continue
-        path.write_text(text.replace(old, new))
-        built = run(['cmake', '--build', scratch / 'build', '-j', '8', '--target', 'membership_tests'])
         out = run(['timeout', '-s', 'KILL', '120', scratch / 'build/tests/membership_tests', '--gtest_fail_fast'])
         failed = re.findall(r'^\[  FAILED  \] ([A-Za-z.]+) \(', out.stdout, re.M)
-        seen = built.returncode == 0 and out.returncode != 0
+        seen = out.returncode != 0
         what = failed[0] if failed else 'it ended' if out.returncode < 0 else 'nothing'
         print(f'| {name} | membership_tests | {what if seen else "NOT SEEN"} |', flush=True)
         missed += 0 if seen else 1
-        path.write_text(text)
+        (scratch / 'src' / file).write_text(text)
     return missed
 
 
@@ -120,16 +129,9 @@
         for name, file, old, new, day, rule in PLANTED:
             if wanted and name not in wanted:
                 continue
-            path = scratch / 'src' / file
-            text = path.read_text()
-            if text.count(old) != 1:
-                print(f'| {name} | {day} | {rule} | NOT PLANTED: its text stands {text.count(old)} times in {file} |')
-                missed += 1
-                continue
-            path.write_text(text.replace(old, new))
-            built = run(['cmake', '--build', scratch / 'build', '-j', '8', '--target', 'thymewood_program'])
-            if built.returncode != 0:
-                print(f'| {name} | {day} | {rule} | NOT BUILT |', built.stderr[-2000:])
+            text, why = plant(scratch, file, old, new, 'thymewood_program')
+            if why:
+                print(f'| {name} | {day} | {rule} | {why} |', flush=True)
                 missed += 1
             else:
                 out = run([build / 'fleet_rig/thymewood_fleet', 'run', top / f'fleet_rig/days/{day}.toml', '--node',
@@ -144,7 +146,7 @@
                     seen, what = found is not None, (found.group(0) if found else 'nothing')
                 print(f'| {name} | {day} | {rule} | {what if seen else "NOT SEEN: " + what} |', flush=True)
                 missed += 0 if seen else 1
-            path.write_text(text)
+            (scratch / 'src' / file).write_text(text)
     finally:
         shutil.rmtree(scratch, ignore_errors=True)
     print(f'{missed} not seen')
--- a/fleet_rig/run/fleet.h
+++ b/fleet_rig/run/fleet.h
@@ -27,6 +27,8 @@
 
 namespace thymewood::fleet {
 
+inline constexpr Party kTheCallers{PartyKind::kCallers, 0}, kTheDiscovery{PartyKind::kDiscovery, 0};
+
 class Fleet {
  public:
   struct Options {
--- /dev/null
+++ b/fleet_rig/run/fleet_faults.cpp
@@ -0,0 +1,275 @@
+// What is done to a fleet while its day goes on: faults of machines, links and discovery, and changes of
+// servers.
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cerrno>
+#include <cmath>
+#include <utility>
+
+#include "fleet.h"
+
+namespace thymewood::fleet {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// What the shim of a node does from now on; `on` false takes it back.
+void set_faults(FaultPlan& plan, const Fault& fault, bool on) {
+  switch (fault.what) {
+    case Fault::What::kDiskFails:
+      plan.write_every = fault.share > 0 ? static_cast<std::uint32_t>(std::lround(1 / fault.share)) : 0;
+      plan.write_errno = on ? EIO : 0;
+      plan.sync_errno = on ? EIO : 0;
+      break;
+    case Fault::What::kDiskReadOnly:
+      plan.write_every = 1;
+      plan.write_errno = plan.sync_errno = plan.rename_errno = on ? EROFS : 0;
+      break;
+    case Fault::What::kDiskSlow:
+      plan.delay_us = on ? static_cast<std::uint32_t>(fault.delay * 1e6) : 0;
+      break;
+    case Fault::What::kClock:
+      plan.clock_shift_ns = on ? static_cast<std::int64_t>(fault.shift * 1e9) : 0;
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------- faults
+
+void Fleet::at(double seconds, std::function<void()> what) {
+  timers_.push_back(std::make_unique<asio::steady_timer>(io_, history_.time_of(seconds)));
+  timers_.back()->async_wait([what = std::move(what)](error_code cancelled) {
+    if (!cancelled) what();
+  });
+}
+
+// One after another, in the order of the plan: timers of the same time may fire in any.
+void Fleet::go_through(std::vector<Step> steps, std::size_t next) {
+  while (next < steps.size() && steps[next].at <= history_.now()) apply(steps[next++]);
+  if (next >= steps.size()) return;
+  const double then = steps[next].at;
+  at(then, [this, steps = std::move(steps), next]() mutable { go_through(std::move(steps), next); });
+}
+
+void Fleet::note(Record::What what, const Party& by, const std::string& text) {
+  Record r;
+  r.what = what;
+  r.by = by;
+  r.note = text;
+  history_.add(r);
+}
+
+void Fleet::apply(const Step& step) {
+  if (step.what == Step::What::kChange) return change(scenario_.changes.at(step.change));
+  const Fault& fault = scenario_.faults.at(step.fault);
+  const bool begins = step.what == Step::What::kBegins;
+  if (options_.progress) options_.progress(history_.now(), (begins ? "" : "over: ") + step.note);
+  if (begins) {
+    begin_fault(fault, step);
+    note(Record::What::kFault, kTheDiscovery, step.note);
+  } else {
+    end_fault(fault, step);
+    note(Record::What::kHealed, kTheDiscovery, step.note);
+  }
+}
+
+void Fleet::begin_fault(const Fault& fault, const Step& step) {
+  for (const Party& party : step.who) {
+    if (party.kind == PartyKind::kDiscovery) break;
+    Node& node = nodes_.at(party);
+    if (FaultPlan* const plan = node.machine->faults()) set_faults(*plan, fault, true);
+    switch (fault.what) {
+      case Fault::What::kKill:
+        if (node.wanted && party.kind == PartyKind::kNode)
+          callers_->lost(party.number, scenario_.clients.notice);
+        stop_node(party);
+        break;
+      case Fault::What::kRestart:
+        asio::co_spawn(io_, restart(party, std::isfinite(fault.lasts) ? fault.lasts : 0), asio::detached);
+        break;
+      case Fault::What::kPause:
+        note(Record::What::kAway, party);
+        node.machine->pause();
+        break;
+      case Fault::What::kStarve:
+        note(Record::What::kAway, party);
+        node.starved = true;
+        asio::co_spawn(io_, starve(party, fault.share), asio::detached);
+        break;
+      case Fault::What::kDescriptors:
+        node.machine->limit_descriptors(static_cast<std::uint64_t>(fault.count));
+        break;
+      case Fault::What::kDiskFull:
+        node.machine->fill_disk();
+        break;
+      default:
+        break;
+    }
+  }
+  if (fault.what == Fault::What::kSilence) discovery_->down();
+  if (fault.what == Fault::What::kLag) discovery_->lag_more(fault.delay);
+  if (!step.ways.empty()) lay(step, true);
+  if (fault.what == Fault::What::kReset || fault.what == Fault::What::kRefuse) {
+    for (const Way& way : step.ways) {
+      const auto at = relays_.find({way.from, way.to});
+      if (at == relays_.end()) continue;
+      if (fault.what == Fault::What::kReset) {
+        at->second->reset();
+      } else {
+        at->second->refuse(true);
+      }
+    }
+  }
+}
+
+void Fleet::end_fault(const Fault& fault, const Step& step) {
+  for (const Party& party : step.who) {
+    if (party.kind == PartyKind::kDiscovery) break;
+    Node& node = nodes_.at(party);
+    if (FaultPlan* const plan = node.machine->faults()) set_faults(*plan, fault, false);
+    switch (fault.what) {
+      case Fault::What::kKill:
+        if (!node.wanted) start_node(party);
+        break;
+      case Fault::What::kPause:
+        node.machine->resume();
+        note(Record::What::kBack, party);
+        break;
+      case Fault::What::kStarve:
+        node.starved = false;
+        node.machine->resume();
+        note(Record::What::kBack, party);
+        break;
+      case Fault::What::kDescriptors:
+        node.machine->limit_descriptors(0);
+        break;
+      case Fault::What::kDiskFull:
+        node.machine->clear_disk();
+        break;
+      default:
+        break;
+    }
+  }
+  if (fault.what == Fault::What::kSilence) discovery_->up();
+  if (fault.what == Fault::What::kLag) discovery_->lag_more(-fault.delay);
+  if (fault.what == Fault::What::kRefuse) {
+    for (const Way& way : step.ways) {
+      const auto at = relays_.find({way.from, way.to});
+      if (at != relays_.end()) at->second->refuse(false);
+    }
+  }
+  if (!step.ways.empty()) lay(step, false);
+}
+
+void Fleet::lay(const Step& step, bool on) {
+  for (const Way& way : step.ways) {
+    Direction& direction = links_.way(way.from, way.to);
+    if (on) {
+      direction.lay(step.number, step.shape);
+    } else {
+      direction.lift(step.number);
+    }
+    Record r;
+    r.what = on ? Record::What::kBadLink : Record::What::kGoodLink;
+    r.by = way.from;
+    r.to = way.to;
+    history_.add(r);
+  }
+  for (const Way& way : step.ways) {
+    for (const auto& ends : {std::pair{way.from, way.to}, std::pair{way.to, way.from}}) {
+      const auto at = relays_.find(ends);
+      if (at != relays_.end()) at->second->changed();
+    }
+    if (!on && way.from == kTheDiscovery && !links_.way(way.from, way.to).cut()) discovery_->healed(way.to);
+  }
+}
+
+void Fleet::refuse_to(const Party& party, bool on) {
+  for (const auto& [ends, relay] : relays_) {
+    if (ends.second == party) relay->refuse(on);
+  }
+}
+
+// ---------------------------------------------------------------- servers
+
+void Fleet::start_server(const Party& party) {
+  Server& server = *servers_.at(party);
+  if (server.is_up()) stop_server(party);
+  server.fail(0);
+  server.mute(0);
+  server.up(true);
+  refuse_to(party, false);
+  note(Record::What::kUp, party);
+  const Party inner{PartyKind::kInner, party.number};
+  if (party.kind == PartyKind::kServer && nodes_.contains(inner) && !nodes_.at(inner).wanted)
+    start_node(inner);
+}
+
+void Fleet::stop_server(const Party& party) {
+  servers_.at(party)->down();
+  refuse_to(party, true);
+  note(Record::What::kDown, party);
+  const Party inner{PartyKind::kInner, party.number};
+  if (party.kind == PartyKind::kServer && nodes_.contains(inner)) stop_node(inner);
+}
+
+void Fleet::change(const bench::Change& c) {
+  using What = bench::Change::What;
+  if (options_.progress) options_.progress(history_.now(), "change of servers");
+  if (c.what == What::kRestart) {
+    const Party node{PartyKind::kNode, c.copy};
+    callers_->lost(c.copy, scenario_.clients.notice);
+    stop_node(node);
+    return at(history_.now() + c.down, [this, node] { start_node(node); });
+  }
+  const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+  for (std::size_t i = c.first; i <= c.last; ++i) {
+    const Party party{c.backends ? PartyKind::kBackend : PartyKind::kServer, static_cast<int>(i)};
+    Server& server = *servers_.at(party);
+    std::optional<Discovery::Status> told;
+    switch (c.what) {
+      case What::kSlow:
+        server.slow_down(c.factor);
+        break;
+      case What::kFail:
+        server.fail(c.part);
+        break;
+      case What::kMute:
+        server.mute(c.part);
+        break;
+      case What::kDrain:
+        told = Discovery::Status::kDraining;
+        break;
+      case What::kStop:
+        stop_server(party);
+        told = Discovery::Status::kGone;
+        break;
+      case What::kStart:
+        start_server(party);
+        told = Discovery::Status::kUp;
+        break;
+      case What::kRestart:
+        break;
+    }
+    if (!told) continue;
+    const auto tell = [this, party, status = *told, now_ms] {
+      discovery_->change(party, status, status == Discovery::Status::kUp ? now_ms : 0);
+    };
+    if (c.told_after > 0) {
+      at(history_.now() + c.told_after, tell);
+    } else {
+      tell();
+    }
+  }
+}
+
+}  // namespace thymewood::fleet
