--- a/tests/fleet_day.h
+++ b/tests/fleet_day.h
@@ -16,6 +16,25 @@
 // s; of a machine that others use too. The rules that are held here are broken by seconds.
 constexpr double kTestSlack = 0.5;
 
+// A class that is keyed and one that must not run twice.
+constexpr const char* kDayClasses = R"([[class]]
+name = "note"
+share = 55
+aim_ms = 800
+give_up_ms = 2500
+effect = "keyed"
+scope = "cell"
+window_ms = 4000
+mean_ms = 20
+[[class]]
+name = "seal"
+share = 45
+aim_ms = 1500
+give_up_ms = 3000
+effect = "unsafe"
+mean_ms = 30
+)";
+
 struct PlayedDay {
   Day day;
   History history;
--- a/tests/fleet_days_test.cpp
+++ b/tests/fleet_days_test.cpp
@@ -8,29 +8,14 @@
 namespace thymewood::fleet {
 namespace {
 
-constexpr const char* kHead = R"(
+const std::string kHead = std::string(R"(
 seconds = 6
 settle = 0
 max_attempts = 4
 max_retry_after_ms = 500
 start_capacity = 0.32
 ramp_s = 3
-[[class]]
-name = "note"
-share = 55
-aim_ms = 800
-give_up_ms = 2500
-effect = "keyed"
-scope = "cell"
-window_ms = 4000
-mean_ms = 20
-[[class]]
-name = "seal"
-share = 45
-aim_ms = 1500
-give_up_ms = 3000
-effect = "unsafe"
-mean_ms = 30
+)") + kDayClasses + R"(
 [[node]]
 count = 2
 zone = 0
--- a/tests/fleet_membership_test.cpp
+++ b/tests/fleet_membership_test.cpp
@@ -8,7 +8,7 @@
 namespace thymewood::fleet {
 namespace {
 
-constexpr const char* kHead = R"(
+const std::string kHead = std::string(R"(
 seconds = 15
 settle = 0
 max_attempts = 4
@@ -25,22 +25,7 @@
 hold_ms = 400
 calm_ms = 600
 """
-[[class]]
-name = "note"
-share = 55
-aim_ms = 800
-give_up_ms = 2500
-effect = "keyed"
-scope = "cell"
-window_ms = 4000
-mean_ms = 20
-[[class]]
-name = "seal"
-share = 45
-aim_ms = 1500
-give_up_ms = 3000
-effect = "unsafe"
-mean_ms = 30
+)") + kDayClasses + R"(
 [[node]]
 count = 3
 zone = 0
