Give a silent watch up in time and open the next one at once; read indented lists

What fell silent at about 1 s counts as told at 7 s and the grace is 0.25 s: sends until 7.39 s broke it. Two things add up: 4.5 s of patience, and the module's pause, which two earlier 503s had doubled and which only an update puts back. To blame: kSilence and Discovery::end in node/discovery.cpp.

Change: 2.9 s of silence after a word, 3.1 s for the first one, which come to the 6 s; the next watch is opened at once, twice in a row, then patience is 4.5 s as before; calls that fail after a silence or a move are repeated six times at short pauses before the module hears. Where lists are pushed a broken watch is made anew after 0.05 s and not 0.5 to 1.5 s. Also, by reading: lists 'may come indented', and one over several lines was 'not valid JSON' for good: objects are taken apart by their braces (node/object_stream.h), torn ones are noticed; a change with an older index undid a drain and is passed over.

In Watch.RemovedAndBackAgain versions went 8, 9, 8, 9, which no discovery says, and is passed over now; they rise, nothing else in it changed.

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -21,15 +21,27 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// s. An empty line comes every 2 s: two that are missed, and some lateness, tell of a watch that is dead.
-// Danger: what discovery has to tell counts as told 6 s later, so that a longer patience breaks a drain.
-constexpr double kSilence = 4.5;
-// At a new address, before the module hears of a failure: watches tried, and the pause between them in s.
-constexpr int kFirstTries = 4;
-constexpr double kFirstPause = 0.3;
-constexpr double kDial = 1.5;  // s; for the connection alone
+// What a watch misses counts as told 6 s after it fell silent, whether or not it arrived. By then the next
+// watch has to be answered, and if that one is accepted and says nothing, the one after it: so that these two
+// waits come to 6 s together.
+//
+// s. An empty line comes every 2 s: one that is missed, and some lateness, tell of a watch that is dead.
+constexpr double kSilence = 2.9;
+// s. Discovery that is asked works through calls in turn, and lets one wait for 3 s at most.
+constexpr double kFirstWord = 3.1;
+// Watches in a row may be given up so soon. Danger: where lines come late for all nodes, their new calls
+// would keep discovery busy and the lines late.
+constexpr int kSoon = 2;
+constexpr double kLateSilence = 4.5;  // s; from then on
+constexpr double kLived = 10;         // s; a watch that was open for so long was no such case
+// Tries of its own after a silence or a move, before the module hears of a failure and makes its pauses,
+// which grow and may have grown. Danger: after a move all counts as told 4 s later, so that most of them lie
+// within that. These pauses grow too, and differ, for discovery may be busy.
+constexpr int kTries = 6;
+constexpr double kFirstPause = 0.3, kMostPause = 0.9;  // s, less up to half; doubled each time
+constexpr double kDial = 1.0;                          // s; for the connection alone
 constexpr std::size_t kReadSize = std::size_t{16} * 1024;
-constexpr std::size_t kLongestLine = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t kLongestObject = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -103,8 +115,8 @@
     request_.set(http::field::host, where.address().to_string() + ":" + std::to_string(where.port()));
     allow(kDial);
     socket_.async_connect(where, [self = shared_from_this()](error_code problem) {
-      if (problem) return self->end();
-      self->allow(kSilence);
+      if (problem || self->owner_ == nullptr) return self->end();
+      self->allow(self->owner_->patience(false));
       http::async_write(self->socket_, self->request_, [self](error_code bad, std::size_t) {
         if (bad) return self->end();
         self->wait();
@@ -120,12 +132,12 @@
     socket_.close(ignored);
   }
 
-  void end() {
+  void end(End why = End::kBroken) {
     Discovery* owner = std::exchange(owner_, nullptr);
     error_code ignored;
     halt(timer_);
     socket_.close(ignored);
-    if (owner != nullptr) owner->end(shared_from_this());
+    if (owner != nullptr) owner->end(shared_from_this(), why);
   }
 
  private:
@@ -135,7 +147,8 @@
       if (cancelled || Clock::Steady::now() < self->timer_.expiry() || self->owner_ == nullptr) return;
       // Danger: a node that was away finds its timer over before what came meanwhile.
       if (!self->pull() || Clock::Steady::now() < self->timer_.expiry()) return;
-      self->end();
+      if (self->objects_.pending()) self->owner_->complain("discovery: an object without its end");
+      self->end(self->asked_ ? End::kSilent : End::kBroken);
     });
   }
 
@@ -192,22 +205,22 @@
     return owner_ != nullptr;
   }
 
-  // Lines come split and joined as the chunks please.
+  // Objects come split and joined as the chunks please.
   void take() {
     std::string& body = parser_.get().body();
-    if (!body.empty()) allow(kSilence);
-    line_ += body;
-    body.clear();
-    std::size_t from = 0;
-    for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', from)) {
-      const std::string_view line = std::string_view(line_).substr(from, end - from);
-      from = end + 1;
-      if (line.find_first_not_of(" \t\r") == std::string_view::npos) continue;
-      owner_->take_line(shared_from_this(), line);
-      if (owner_ == nullptr) return;  // it was bad, or another watch has taken over
-    }
-    line_.erase(0, from);
-    if (line_.size() > kLongestLine) end();
+    if (body.empty()) return;
+    const std::string bytes = std::exchange(body, {});
+    owner_->heard();
+    // Danger: the empty lines of a watch whose last object was torn would keep it, and what it holds is lost.
+    if (!objects_.pending() || bytes.find_first_not_of(" \t\r\n") != std::string::npos)
+      allow(owner_->patience(true));
+    const bool well = objects_.feed(bytes, [this](std::string_view object) {
+      owner_->take_object(shared_from_this(), object);
+      return owner_ != nullptr;  // it was bad, or another watch has taken over
+    });
+    if (well || owner_ == nullptr) return;
+    owner_->complain("discovery: neither an object nor white space, or an object over 4 MiB");
+    end();
   }
 
   Discovery* owner_;
@@ -216,19 +229,20 @@
   http::request<http::empty_body> request_;
   http::response_parser<http::string_body> parser_;
   boost::beast::flat_buffer buffer_;
-  std::string line_;
-  bool asked_ = false;  // the call is written: an answer may come
-  bool pulling_ = false;
+  ObjectStream objects_{kLongestObject};
+  bool asked_ = false;    // the call is written: an answer may come
+  bool pulling_ = false;  // a listener's doing, from within an object
 };
 
 Discovery::Discovery(asio::io_context& io, tcp::endpoint where, Directory directory, const Clock& clock,
-                     Listener listener)
+                     std::uint64_t seed, Listener listener)
     : io_(io),
       where_(std::move(where)),
       directory_(std::move(directory)),
       clock_(clock),
       listener_(std::move(listener)),
-      again_(io) {}
+      again_(io),
+      jitter_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
 Discovery::~Discovery() {
   if (watch_) watch_->abandon();
@@ -237,7 +251,7 @@
 // Guards against a timer for a new watch that was set before discovery moved: a second call would cost its
 // turn at a discovery that works through calls one by one, and the first one's answer with it.
 void Discovery::watch() {
-  if (!watch_ && tries_left_ == 0) open();
+  if (!watch_ && !trying_) open();
 }
 
 void Discovery::refresh() {
@@ -247,46 +261,76 @@
 void Discovery::open() {
   if (watch_) watch_->abandon();
   watch_ = std::make_shared<Watch>(*this);
+  opened_at_ = clock_.now();
   watch_->start(where_, index_);
 }
 
+double Discovery::patience(bool heard) const {
+  if (silences_ >= kSoon) return kLateSilence;
+  return heard ? kSilence : kFirstWord;
+}
+
 void Discovery::move_to(const tcp::endpoint& where) {
   if (where == where_ && watch_) return;
   where_ = where;
   // Nothing says that versions are counted alike at both addresses: a change between them must not be missed.
   index_ = 0;
-  tries_left_ = kFirstTries;
+  hurry();
+  silences_ = 0;
+  trying_ = false;
   halt(again_);
   open();
 }
 
-void Discovery::take_line(const std::shared_ptr<Watch>& from, std::string_view line) {
+// Whatever discovery says shows that it is there, an empty line too: it may have nothing to tell.
+void Discovery::heard() { tries_left_ = 0; }
+
+// Failures from here on are for this object to mend, for a while.
+void Discovery::hurry() {
+  tries_left_ = kTries;
+  pause_ = kFirstPause;
+}
+
+void Discovery::take_object(const std::shared_ptr<Watch>& from, std::string_view object) {
   Membership update;
   try {
     rapidjson::Document in;
-    in.Parse<rapidjson::kParseIterativeFlag>(line.data(), line.size());
+    in.Parse<rapidjson::kParseIterativeFlag>(object.data(), object.size());
     if (in.HasParseError()) throw std::runtime_error("not valid JSON");
     update = read_membership(in, directory_, clock_);
   } catch (const std::exception& problem) {
-    // The old list stays. The changes of this line are missed, so the watch starts again from before it.
+    // The old list stays. These changes are missed, so the watch starts again from before them.
     complain(std::string("discovery: ") + problem.what());
     return from->end();
   }
   complained_ = false;
-  tries_left_ = 0;
+  // Danger: a change that is older than the list in hand would take back what came after it, a drain for one.
+  // A whole list is another matter: discovery may have begun to count anew.
+  if (!update.full && update.index < index_) return;
   index_ = update.index;
   listener_.update(update);
 }
 
-void Discovery::end(const std::shared_ptr<Watch>& from) {
+void Discovery::end(const std::shared_ptr<Watch>& from, End why) {
   if (watch_ != from) return;
   watch_.reset();
-  // Danger: what discovery has to tell counts as told soon after a move, and the module's own pause, which
-  // has grown with each failure at the old address, may be longer than that.
-  if (tries_left_ > 0 && --tries_left_ > 0) {
-    again_.expires_after(Clock::span(kFirstPause));
+  if (clock_.now() - opened_at_ >= kLived) silences_ = 0;
+  // Danger: a pause, which may have grown in an outage before, comes on top of the time that the silence
+  // took. Nodes notice it at different times, as their lines came.
+  if (why == End::kSilent && silences_++ < kSoon) {
+    hurry();
+    return open();
+  }
+  if (tries_left_ > 0) {
+    --tries_left_;
+    const double part = std::uniform_real_distribution<>(0.5, 1)(jitter_);
+    again_.expires_after(Clock::span(pause_ * part));
+    pause_ = std::min(2 * pause_, kMostPause);
+    trying_ = true;
     again_.async_wait([this](error_code cancelled) {
-      if (!cancelled) open();
+      if (cancelled) return;
+      trying_ = false;
+      if (!watch_) open();
     });
     return;
   }
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -8,11 +8,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "clock.h"
+#include "object_stream.h"
 #include "settings_reader.h"
 #include "thymewood/balancer.h"
 
@@ -42,15 +44,17 @@
 
 class Discovery {
  public:
-  // Exactly one of these is called as the first answer to each watch(); afterwards `update` for each change
-  // and `failed` once when the watch ends. Neither is called from within watch().
+  // `update` for each list or change. `failed` when no watch is open and none will be opened without watch();
+  // after a silence or a move not before some tries of its own have failed, for what discovery has to tell
+  // counts as told soon after these. Neither is called from within watch().
   struct Listener {
     std::function<void(const Membership&)> update;
     std::function<void()> failed;
   };
 
+  // `seed`: spreads the tries of nodes whose watches break together.
   Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint where, Directory directory,
-            const Clock& clock, Listener listener);
+            const Clock& clock, std::uint64_t seed, Listener listener);
   ~Discovery();
   Discovery(const Discovery&) = delete;
   Discovery& operator=(const Discovery&) = delete;
@@ -66,9 +70,14 @@
 
  private:
   class Watch;
-  void take_line(const std::shared_ptr<Watch>& from, std::string_view line);
-  void end(const std::shared_ptr<Watch>& from);
+  // Why a watch ended.
+  enum class End { kBroken, kSilent };
+  void take_object(const std::shared_ptr<Watch>& from, std::string_view object);
+  void heard();  // a byte of a watch's answer
+  void hurry();
+  void end(const std::shared_ptr<Watch>& from, End why);
   void open();
+  double patience(bool heard) const;  // s; of a watch that has said something, or nothing yet
   void complain(const std::string& text);
 
   boost::asio::io_context& io_;
@@ -78,8 +87,13 @@
   Listener listener_;
   std::uint64_t index_ = 0;
   std::shared_ptr<Watch> watch_;
-  boost::asio::steady_timer again_;  // until a first watch at a new address is tried once more
-  int tries_left_ = 0;
+  boost::asio::steady_timer again_;  // until the next of the tries that are left
+  std::minstd_rand jitter_;
+  int tries_left_ = 0;    // before the listener hears of a failure
+  double pause_ = 0;      // s; before the next of them
+  bool trying_ = false;   // that pause is on
+  int silences_ = 0;      // watches in a row that were given up as silent
+  double opened_at_ = 0;  // s on the clock; when the watch in hand was
   bool complained_ = false;
 };
 
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -25,7 +25,10 @@
 // that was stopped finds callers' requests and discovery's word side by side, and a drain that was told
 // meanwhile counts.
 constexpr double kListAge = 0.1;
-constexpr double kReconnect = 1;  // s; mean wait before a broken watch is made anew, where lists are pushed
+// s; mean wait before a broken watch is made anew, where lists are pushed. Danger: what the agent on this
+// machine has counts as told whether or not a watch is open, and a grace may be a fraction of a second. It
+// answers at once and at no cost.
+constexpr double kReconnect = 0.05;
 
 }  // namespace
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -128,7 +128,7 @@
   node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream}, budget);
   node::Dispatcher* to = nullptr;
   node::Discovery discovery(
-      io, config.discovery, config.directory, clock,
+      io, config.discovery, config.directory, clock, config.seed,
       {[&to](const node::Membership& update) { to->members(update); }, [&to] { to->watch_failed(); }});
   discovery.set_index(config.known.index);
   try {
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -6,18 +6,25 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <linux/filter.h>
+#include <linux/seccomp.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
+#include <cstddef>
 #include <cstdlib>
 #include <deque>
 #include <fstream>
@@ -74,10 +81,20 @@
   return out;
 }
 
+// Small segments and a small buffer, so that whoever sends to this socket, or to what it accepts, is stopped
+// after some tens of KiB. On loopback a sender's buffer is megabytes otherwise: it grows with the segments.
+inline void narrow(int socket) {
+  const int segment = 88, buffer = 1;  // the least that there is
+  ::setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+  ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+}
+
 // A server whose queue of connections is full: a dial to it stays out until accept() makes room.
 class FullListener {
  public:
-  FullListener() : listen_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  // `tight`: what it accepts takes in little before it is read from.
+  explicit FullListener(bool tight = false) : listen_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    if (tight) narrow(listen_.get());
     sockaddr_in where = loopback(0);
     EXPECT_EQ(::bind(listen_.get(), reinterpret_cast<sockaddr*>(&where), sizeof where), 0);
     EXPECT_EQ(::listen(listen_.get(), 0), 0);
@@ -123,9 +140,12 @@
 // One message's bytes at a time, either way.
 class Wire {
  public:
+  Wire() = default;
   explicit Wire(Fd fd) : fd_(std::move(fd)) {}
-  static Wire to(int port) {
+  // `tight`: it takes in little before it is read from.
+  static Wire to(int port, bool tight = false) {
     Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    if (tight) narrow(fd.get());
     const sockaddr_in where = loopback(port);
     if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) != 0) fd.reset();
     return Wire(std::move(fd));
@@ -139,6 +159,28 @@
     fd_.reset();
   }
   int fd() const { return fd_.get(); }
+  // Something has come, and is left there.
+  bool has_come() const {
+    pollfd wait{fd_.get(), POLLIN, 0};
+    return ::poll(&wait, 1, static_cast<int>(std::chrono::milliseconds(kPatience).count())) > 0;
+  }
+  // Says that nothing more will be sent; what comes can still be read.
+  void end_sending() const { ::shutdown(fd_.get(), SHUT_WR); }
+  // Sends until the peer takes no more, or `most` bytes are out; returns how many.
+  std::size_t flood(const std::string& text, std::size_t most) const {
+    std::size_t sent = 0;
+    for (auto since = std::chrono::steady_clock::now(); sent < most;) {
+      const std::size_t at = sent % text.size();
+      const ssize_t n = ::send(fd_.get(), text.data() + at, text.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n > 0) {
+        sent += static_cast<std::size_t>(n);
+        since = std::chrono::steady_clock::now();
+      } else if (errno != EAGAIN || std::chrono::steady_clock::now() - since > 200ms) {
+        break;
+      }
+    }
+    return sent;
+  }
 
   bool write(const std::string& text) {
     std::size_t at = 0;
@@ -410,12 +452,34 @@
   Listener listener_;
 };
 
+// From now on, and in what this process starts, the kernel does not tell of a connection's state: TCP_INFO is
+// refused as an option that it does not know. (seccomp(2); the arguments' low halves lie first here.)
+inline void refuse_tcp_info() {
+  constexpr auto low = [](int argument) {
+    return static_cast<std::uint32_t>(offsetof(seccomp_data, args) + 8U * static_cast<unsigned>(argument));
+  };
+  sock_filter program[] = {
+      BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(seccomp_data, nr)),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_getsockopt, 0, 5),
+      BPF_STMT(BPF_LD | BPF_W | BPF_ABS, low(1)),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, IPPROTO_TCP, 0, 3),
+      BPF_STMT(BPF_LD | BPF_W | BPF_ABS, low(2)),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_INFO, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ERRNO | ENOPROTOOPT),
+      BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW),
+  };
+  const sock_fprog filter{static_cast<unsigned short>(std::size(program)), program};
+  if (::prctl(PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) != 0 ||
+      ::prctl(PR_SET_SECCOMP, SECCOMP_MODE_FILTER, &filter) != 0)
+    ::_exit(126);
+}
+
 // The program under test.
 class Program {
  public:
-  // `operators`: the text of the operators' file; empty: none is named.
+  // `operators`: the text of the operators' file; empty: none is named. `in_child` runs before the program.
   explicit Program(const std::string& config, rlim_t descriptors = 0, bool wait_for_start = true,
-                   const std::string& operators = "") {
+                   const std::string& operators = "", void (*in_child)() = nullptr) {
     static std::atomic<int> count = 0;
     base_ = testing::TempDir() + "/node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
     std::ofstream(base_ + ".json") << config;
@@ -432,6 +496,7 @@
         const rlimit limit{descriptors, descriptors};
         ::setrlimit(RLIMIT_NOFILE, &limit);
       }
+      if (in_child != nullptr) in_child();
       ::execl(NODE_PROGRAM, NODE_PROGRAM, nullptr);
       ::_exit(127);
     }
@@ -528,10 +593,22 @@
   int port_ = 0, status_ = 0;
 };
 
+// What a customer asks of a node, as it stands in the settings. None of these is a known deployment's.
+struct Customer {
+  const char* name;
+  const char* categories;
+  const char* rules = R"("askWithin":10.0)";
+};
+inline constexpr const char* kUsualCategories =
+    R"({"name":"look","aim":5.0,"giveUp":15.0,"effect":"safe","lateWorth":0.5},)"
+    R"({"name":"mark","aim":5.0,"giveUp":15.0,"effect":"keyed","group":"cell","dedupWindow":15.0,"lateWorth":0.5},)"
+    R"({"name":"close","aim":5.0,"giveUp":15.0,"effect":"unsafe","lateWorth":0.5})";
+
 struct ConfigText {
   std::string discovery = "127.0.0.1:9", known = "", listen = "127.0.0.1:0", mode = "subscribe";
   int sockets = 256, memory_mb = 192, position = 0, total = 1;
   std::string peers = "";  // further fields of the whole
+  std::string categories = kUsualCategories, rules = R"("askWithin":10.0)";
   std::string bounds = R"("cancel":true,"maxAttempts":3,"maxRetryAfter":2.0,"retryAfter":true,)"
                        R"("secondCopies":true,"dialTimeout":0.5,"idleClose":60.0)";
   std::string text() const {
@@ -541,29 +618,26 @@
            (known.empty() ? "" : R"("known":)" + known + ",") + peers +
            R"("settings":{"azs":["a"],"peersTotal":)" + std::to_string(total) + R"(,"position":)" +
            std::to_string(position) + R"(,"stage":0,"zone":0,"granularity":0.005,)" + R"("registryMode":")" +
-           mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" +
-           R"({"name":"look","aim":5.0,"giveUp":15.0,"effect":"safe","lateWorth":0.5},)" +
-           R"({"name":"mark","aim":5.0,"giveUp":15.0,"effect":"keyed","group":"cell","dedupWindow":15.0,"lateWorth":0.5},)" +
-           R"({"name":"close","aim":5.0,"giveUp":15.0,"effect":"unsafe","lateWorth":0.5}],)" +
-           R"("realms":[{"name":"acme","share":1.0}],"rules":{"askWithin":10.0}}})";
+           mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" + categories +
+           R"(],"realms":[{"name":"acme","share":1.0}],"rules":{)" + rules + "}}}";
   }
 };
 
 // A node with servers in its known list, and a discovery that has nothing to add.
 class Deployment {
  public:
-  explicit Deployment(const std::vector<FakeServer*>& servers, ConfigText config = {},
-                      rlim_t descriptors = 0) {
+  explicit Deployment(const std::vector<FakeServer*>& servers, ConfigText config = {}, rlim_t descriptors = 0,
+                      void (*in_child)() = nullptr) {
     std::string members;
     for (std::size_t i = 0; i < servers.size(); ++i) {
       members += (i > 0 ? "," : "") + member("s" + std::to_string(i), servers[i]->address());
     }
-    config.known = list(7, true, members);
+    if (config.known.empty()) config.known = list(7, true, members);
     config.discovery = discovery.address();
     told = config;
-    program = std::make_unique<Program>(config.text(), descriptors);
+    program = std::make_unique<Program>(config.text(), descriptors, true, "", in_child);
   }
-  Wire client() const { return Wire::to(program->port()); }
+  Wire client(bool tight = false) const { return Wire::to(program->port(), tight); }
 
   FakeDiscovery discovery;
   ConfigText told;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -382,11 +382,12 @@
     return status_of(client.read_message());
   };
   EXPECT_EQ(status(), 200);
+  int index = 7;
   for (const char* state : {"removed", "draining"}) {
-    d.discovery.say(list(8, false, member("s0", server.address(), state)));
+    d.discovery.say(list(++index, false, member("s0", server.address(), state)));
     EXPECT_TRUE(eventually([&] { return status() == 503; }));
     EXPECT_TRUE(eventually([&] { return server.listener().open() == 0; })) << "idle connections are dropped";
-    d.discovery.say(list(9, false, member("s0", server.address())));
+    d.discovery.say(list(++index, false, member("s0", server.address())));
     EXPECT_TRUE(eventually([&] { return status() == 200; }));
   }
 }
