Send nothing for callers who left, answer all before the kill, keep windows when sending

Causes: - A request taken before SIGTERM kept its own time (15 s in the test), the kill comes 3.7 s after it: Frontend::drain cut later ones only. Dispatcher::answer_by now cuts all that is held, attempts with it. The read is always out while a request waits, look() reads up to the end itself.

--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -158,6 +159,9 @@
   std::string id;
   std::string server;
   double timeout = 0;
+  // When its last byte has to be out, on the host's clock: a repeat is harmless until then. A host that can't
+  // send it by then ends it as kNotSent or kDialFailed.
+  double send_by = std::numeric_limits<double>::infinity();
 };
 
 // Final answer: turned away; trying again is harmless.
--- a/node/arrival.h
+++ b/node/arrival.h
@@ -16,6 +16,7 @@
 struct Arrival {
   double age = 0;            // s since the peer last sent something; 0 where the kernel does not tell
   bool peer_closed = false;  // it sends nothing more: it has closed, or reset the connection
+  bool known = false;        // false: the kernel does not tell, and the two above say nothing
 };
 
 // s. Younger than this, all is as usual: the loop was busy for a moment. From here on the node was late, and
@@ -34,6 +35,8 @@
   if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return out;
   constexpr socklen_t kNeeded = offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv;
   if (size < kNeeded) return out;
+  if (info.tcpi_state == 0) return out;  // no state of tcp(7)
+  out.known = true;
   constexpr double kMilli = 1e-3;
   out.age = kMilli * static_cast<double>(info.tcpi_last_data_recv);
   out.peer_closed =
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -21,10 +21,15 @@
 constexpr double kMargin = 0.040;
 // s. If by then, for whatever reason, there is no answer, the node fails the request itself.
 constexpr double kGuardMargin = 0.020;
+// Of the time that a client gives, at most: where it waits for 0.1 s, a margin of 0.04 s would be most of
+// what is left for the server. The protocol allows an answer to be 0.05 s late.
+constexpr double kMarginPart = 0.125;
 // s. A list that was brought up to date longer ago is looked at again before the next send. Danger: a node
 // that was stopped finds callers' requests and discovery's word side by side, and a drain that was told
 // meanwhile counts.
-constexpr double kListAge = 0.1;
+// Settings may give no grace at all, and the protocol allows 50 ms beside it. Where nothing has come, a look
+// is one system call.
+constexpr double kListAge = 0.02;
 // s; mean wait before a broken watch is made anew, where lists are pushed. Danger: what the agent on this
 // machine has counts as told whether or not a watch is open, and a grace may be a fraction of a second. It
 // answers at once and at no cost.
@@ -55,25 +60,44 @@
 }
 
 void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, Asker asker) {
+  const double now = clock_.now();
+  event.time_left = std::min(event.time_left, latest_ - now);
   // Turned away before the module hears of it, as the settings have it.
-  if (held_.size() >= max_open_ || (isolation_ && isolation_->refuses(clock_.now()))) {
+  if (event.time_left <= 0 || held_.size() >= max_open_ || (isolation_ && isolation_->refuses(now))) {
     return asker.answer_to({Answer::Kind::kRefused, busy_retry_after_, {}});
   }
   const std::string id = event.id;
-  const double now = clock_.now();
   Held& held = held_[id];
   held.message = std::move(message);
   held.answer_to = std::move(asker.answer_to);
   held.still_waits = std::make_shared<const std::function<bool()>>(std::move(asker.still_waits));
   held.taken = now;
   held.repeatable = event.request_class < effects_.size() && effects_[event.request_class] != Effect::kUnsafe;
-  held.until = now + event.time_left - kMargin;
-  held.guard = std::make_unique<asio::steady_timer>(io_, clock_.at(now + event.time_left - kGuardMargin));
+  keep_to(id, held, now + event.time_left);
+  event.time_left = std::max(0.0, held.until - now);
+  happen(std::move(event));
+}
+
+void Dispatcher::keep_to(const std::string& id, Held& held, double deadline) {
+  const double now = clock_.now();
+  const double margin = std::min(kMargin, kMarginPart * std::max(0.0, deadline - now));
+  held.deadline = deadline;
+  held.until = deadline - margin;
+  held.guard =
+      std::make_unique<asio::steady_timer>(io_, clock_.at(deadline - margin * kGuardMargin / kMargin));
   held.guard->async_wait([this, id](error_code cancelled) {
     if (!cancelled) overdue(id);
   });
-  event.time_left = std::max(0.0, event.time_left - kMargin);
-  happen(std::move(event));
+  for (std::size_t i = 0; i < held.attempts.size(); ++i) {
+    if (held.open[i]) upstream_.end_by(held.attempts[i], clock_.at(held.until));
+  }
+}
+
+void Dispatcher::answer_by(double latest) {
+  latest_ = latest;
+  for (auto& [id, held] : held_) {
+    if (!held.over() && held.deadline > latest) keep_to(id, held, latest);
+  }
 }
 
 void Dispatcher::client_gone(const std::string& id) {
@@ -81,6 +105,7 @@
   if (at == held_.end() || at->second.over()) return;
   at->second.answer_to = nullptr;
   at->second.guard.reset();
+  withdraw(at->second);
   happen(RequestGone{id});
   settle(id);
 }
@@ -207,6 +232,14 @@
   answer_to(std::move(answer));
 }
 
+// Nobody waits for it any more: what has not been sent whole is not sent. The settings say whether what is
+// sent may be called off; this is no such call.
+void Dispatcher::withdraw(const Held& held) {
+  for (std::size_t i = 0; i < held.attempts.size(); ++i) {
+    if (held.open[i]) upstream_.withdraw(held.attempts[i]);
+  }
+}
+
 // A request stays in the table as long as it owes an answer or has attempts out.
 void Dispatcher::settle(const std::string& id) {
   const auto at = held_.find(id);
@@ -218,6 +251,7 @@
   const auto at = held_.find(id);
   if (at == held_.end() || at->second.over()) return;
   answer(at->second, {Answer::Kind::kFailed, 0, {}});
+  withdraw(at->second);
   happen(RequestGone{id});
   const auto left = held_.find(id);
   if (left == held_.end()) return;
@@ -238,22 +272,27 @@
   double timeout = action.timeout == 0 ? left : std::min(action.timeout, left);
   if (held.over()) timeout = 0;  // danger: a send after the final answer; it never leaves
   held.open.push_back(true);
-  held.attempts.push_back(upstream_.start(
-      action.server, held.message, timeout, held.repeatable,
-      {[this, taken = held.taken, waits = held.still_waits] { return may_send(taken, *waits); },
-       [this, id = action.id, attempt, now](Upstream::End&& end) {
-         attempt_ended(id, attempt, now, std::move(end));
-       }}));
+  const double send_by = std::min(timeout, action.send_by - now);
+  held.attempts.push_back(upstream_.start(action.server, held.message, {timeout, send_by}, held.repeatable,
+                                          {[this, id = action.id] { return may_send(id); },
+                                           [this, id = action.id, attempt, now](Upstream::End&& end) {
+                                             attempt_ended(id, attempt, now, std::move(end));
+                                           }}));
 }
 
-// Asked right before the first byte of an attempt. It may bring news of the list with it.
-bool Dispatcher::may_send(double taken, const std::function<bool()>& still_waits) {
+// Asked right before the first byte of an attempt. It may bring news of the list with it. Danger: the
+// caller's connection may by now carry another request of his, for which he does wait.
+bool Dispatcher::may_send(const std::string& id) {
   const double now = clock_.now();
   if (now - list_seen_ >= kListAge) {
     list_seen_ = now;
     list_.refresh();
   }
-  return now - taken < kLateLook || still_waits();
+  const auto at = held_.find(id);
+  if (at == held_.end() || at->second.over()) return false;
+  if (now - at->second.taken < kLateLook) return true;
+  const auto still_waits = at->second.still_waits;
+  return (*still_waits)();
 }
 
 void Dispatcher::perform(const Refuse& action) {
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <random>
@@ -50,6 +51,9 @@
   void start(const Membership& known);
   bool can_serve() const { return ready_ > 0 && !(isolation_ && isolation_->isolated()); }
 
+  // All that is held, and all that is taken from now on, is answered by then (s on the clock).
+  void answer_by(double latest);
+
   // Takes a request whose client waits until `event.time_left` from now. The answer may come at once.
   void take(Request event, std::shared_ptr<const HttpRequest> message, Asker asker);
   // Whether a request of this id is open, or has attempts out.
@@ -69,7 +73,8 @@
     std::function<void(Answer&&)> answer_to;  // empty once the final answer is out, or nobody waits for it
     std::shared_ptr<const std::function<bool()>> still_waits;  // shared with its attempts
     double taken = 0;
-    double until = 0;  // when attempts end, a margin before the client gives up
+    double deadline = 0;  // when the answer has to be there
+    double until = 0;     // when attempts end, a margin before that
     std::unique_ptr<boost::asio::steady_timer> guard;
     std::vector<Upstream::Handle> attempts;
     std::vector<bool> open;
@@ -80,7 +85,9 @@
   void happen(Event event);
   void handle(const Event& event);
   void attempt_ended(const std::string& id, int attempt, double sent, Upstream::End&& end);
-  bool may_send(double taken, const std::function<bool()>& still_waits);
+  bool may_send(const std::string& id);
+  void keep_to(const std::string& id, Held& held, double deadline);
+  void withdraw(const Held& held);
   void answer(Held& held, Answer&& answer);
   void settle(const std::string& id);
   void overdue(const std::string& id);
@@ -104,7 +111,8 @@
   std::optional<membership::Isolation> isolation_;
   Upstream& upstream_;
   List list_;
-  double list_seen_ = 0;  // when the list was last brought up to date
+  double latest_ = std::numeric_limits<double>::infinity();  // see answer_by
+  double list_seen_ = 0;                                     // when the list was last brought up to date
   std::unordered_map<std::string, Held> held_;
   std::unordered_map<std::string, bool> ready_by_name_;
   std::size_t ready_ = 0;
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
 #include <cstdio>
 #include <iostream>
 #include <optional>
@@ -48,6 +49,7 @@
 constexpr std::size_t kMostAhead = kHeaderLimit + kReadSize;
 constexpr std::size_t kMostLingered =
     std::size_t{256} * 1024;  // bytes that are passed over after the last answer
+constexpr std::size_t kMostLooked = std::size_t{256} * 1024;  // bytes that are read at once to find its end
 constexpr std::size_t kKeptAhead =
     kReadSize;                           // bytes of read-ahead that an idle connection may keep room for
 constexpr std::size_t kHeadCost = 1024;  // bytes; what a request holds besides its body, about
@@ -69,7 +71,13 @@
 }  // namespace
 
 // One client's connection. There is always a read on it, so that a client that goes is noticed; what comes
-// ahead of its turn is kept, up to a bound.
+// ahead of its turn is kept, up to a bound. What comes beyond that while a request waits is read all the same
+// and passed over, for the client's end may stand behind it; what was kept is answered, then the rest is told
+// so and the connection closed.
+//
+// A client that ends its sending has gone, with all that it has asked (PROTOCOL, callers to nodes: one that
+// closes its connection has gone away; TCP tells no close from a half-close). An answer that was begun is
+// finished, for what it costs; nothing else is owed.
 class Frontend::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Frontend& owner, tcp::socket socket, bool turned_away)
@@ -96,9 +104,13 @@
     error_code ignored;
     return socket_.available(ignored) > 0;
   }
-  // What is not a request by then is none.
-  void hurry() {
-    if (state_ == State::kReading || state_ == State::kPausing) allow(kLinger);
+  // Before the kill no connection may be open on which a client could still send. What is not a request by
+  // then is none.
+  void wind_up() {
+    if (is_idle() && !has_unread()) return close();
+    if (state_ != State::kReading && state_ != State::kPausing) return;
+    const std::chrono::duration<double> left = owner_->last_answer_ - Clock::Steady::now();
+    allow(std::clamp(left.count(), 0.0, kLinger));
   }
   // Ends it without a word.
   void close() {
@@ -157,6 +169,7 @@
     if (proven_ ? !begun_ : list_ == nullptr) enlist(proven_ ? owner_->idle_ : owner_->strangers_);
     if (!begun_) trim();
     read();
+    if (owner_->closing_) wind_up();
   }
 
   void enlist(std::list<Session*>& list) {
@@ -172,7 +185,9 @@
   }
 
   void read() {
-    if (reading_ || state_ == State::kClosed || ahead_.size() > kMostAhead - kReadSize) return;
+    // A caller of errors is made to wait by leaving his bytes where they are; any other may leave meanwhile.
+    const bool full = ahead_.size() > kMostAhead - kReadSize;
+    if (reading_ || state_ == State::kClosed || (full && state_ == State::kPausing)) return;
     reading_ = true;
     socket_.async_read_some(asio::buffer(scratch_),
                             [self = shared_from_this()](error_code bad, std::size_t n) {
@@ -183,8 +198,8 @@
 
   void take(error_code bad, std::size_t n) {
     if (owner_ == nullptr || state_ == State::kClosed) return;
-    // A client that closes has gone, whatever it still has a right to.
     if (bad) {
+      gone_ = true;
       if (state_ != State::kWriting) close();
       return;
     }
@@ -193,9 +208,7 @@
       if (lingered_ > kMostLingered) return close();
       return read();
     }
-    const asio::mutable_buffer room = ahead_.prepare(n);
-    std::copy_n(scratch_.begin(), n, static_cast<char*>(room.data()));
-    ahead_.commit(n);
+    keep(scratch_.data(), n);
     if (state_ == State::kReading) parse();
     if (state_ == State::kReading && !share_.hold(ahead_.capacity() + parser_->get().body().capacity())) {
       keep_alive_ = false;
@@ -204,6 +217,40 @@
     read();
   }
 
+  // Of what comes ahead of its turn, as much as there is room for; from the first byte beyond on nothing.
+  void keep(const char* bytes, std::size_t n) {
+    const std::size_t room = overrun_ ? 0 : kMostAhead - std::min(kMostAhead, ahead_.size());
+    const std::size_t kept = std::min(room, n);
+    if (kept < n) overrun_ = true;
+    if (kept == 0) return;
+    std::copy_n(bytes, kept, static_cast<char*>(ahead_.prepare(kept).data()));
+    ahead_.commit(kept);
+  }
+
+  // Reads what has come, without waiting. False: the caller has gone, or has sent so much ahead of his turn
+  // that his end may stand behind it. This is what the kernel can't fail to tell: TCP_INFO may not be there,
+  // and counts no end that has not come in yet.
+  bool look() {
+    std::array<char, kReadSize> piece{};
+    for (std::size_t n = 0; !gone_;) {
+      if (n > kMostLooked) return false;
+      const ssize_t got = ::recv(socket_.native_handle(), piece.data(), piece.size(), MSG_DONTWAIT);
+      if (got > 0) {
+        keep(piece.data(), static_cast<std::size_t>(got));
+        n += static_cast<std::size_t>(got);
+      } else if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        break;
+      } else if (got == 0 || errno != EINTR) {
+        gone_ = true;
+        // Not from within what asks, which may be in the midst of this very request.
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+          if (self->state_ != State::kWriting) self->close();
+        });
+      }
+    }
+    return !gone_;
+  }
+
   // Feeds the parser with what has come, up to the end of one request.
   void parse() {
     while (state_ == State::kReading && ahead_.size() > 0) {
@@ -226,8 +273,11 @@
       if (bad) return reject({http::status::bad_request, "malformed request"});
       if (parser_->is_done()) return handle();
       if (parser_->is_header_done() && !check_framing()) return;
-      if (used == 0) return;
+      if (used == 0) break;
     }
+    // Danger: what was passed over would be missing from the midst of this request.
+    if (overrun_ && state_ == State::kReading)
+      reject({http::status::payload_too_large, "too much sent ahead"});
   }
 
   // What the head says of the body, before the body has come.
@@ -277,17 +327,14 @@
     // Danger: a request's time counts from its last byte. While the node was away, or its connection lay in
     // the listener's queue, that time went by, and a caller that has given up must not make a server work.
     const Arrival came = look_at(socket_.native_handle());
-    if (came.age >= kLateLook && came.peer_closed) return close();
+    if ((!came.known || came.age >= kLateLook || ahead_.size() > 0) && !look())
+      return gone_ ? close() : respond(refusal(owner_->limits_.busy_retry_after));
     // So much of it lies in the margins that every request has (kMargin of the dispatcher).
     event.time_left -= std::max(0.0, came.age - kLateLook);
     const auto message = std::make_shared<Message>(owner_->budget_);
     share_.keep(ahead_.capacity());  // the rest goes with the request
     if (!message->share.hold(kHeadCost + request_->body().capacity()))
       return respond(refusal(owner_->limits_.busy_retry_after));
-    if (owner_->draining_) {
-      const std::chrono::duration<double> left = owner_->last_answer_ - Clock::Steady::now();
-      event.time_left = std::min(event.time_left, left.count());
-    }
     if (turned_away_ || event.time_left <= 0) return respond(refusal(owner_->limits_.busy_retry_after));
     id_ = event.id;
     drop_hop_by_hop(*request_);
@@ -309,9 +356,8 @@
                               }});
   }
 
-  // Whether its caller is there, as far as the kernel knows: the read that would tell may not have had its
-  // turn.
-  bool still_waits() { return state_ == State::kWaiting && !look_at(socket_.native_handle()).peer_closed; }
+  // Whether its caller is there: the read that would tell may not have had its turn.
+  bool still_waits() { return state_ == State::kWaiting && look(); }
 
   // ---------------------------------------------------------------- answers
 
@@ -363,6 +409,8 @@
       if (bad) return self->close();
       self->response_ = {};
       self->share_.keep(self->ahead_.capacity());
+      // What he has sent ahead is nobody's any more.
+      if (self->gone_) return self->close();
       if (!self->keep_alive_) return self->linger();
       if (std::exchange(self->pause_, false)) {
         // Guards the others against one who asks the same again at full speed: he is read from now and then.
@@ -397,6 +445,8 @@
   bool proven_ = false;   // has asked for something that can be served
   bool pause_ = false;    // after this answer
   bool begun_ = false;    // a byte of the request has come
+  bool gone_ = false;     // its end was read, or it was reset
+  bool overrun_ = false;  // more came ahead of its turn than was kept
   bool keep_alive_ = true, continue_sent_ = false;
   std::array<char, kReadSize> scratch_{};
   boost::beast::flat_buffer ahead_;
@@ -410,9 +460,10 @@
   HttpResponse response_;
 };
 
-Frontend::Frontend(asio::io_context& io, const Limits& limits, Catalog catalog, Budget& budget,
-                   Dispatcher& dispatcher)
+Frontend::Frontend(asio::io_context& io, const Clock& clock, const Limits& limits, Catalog catalog,
+                   Budget& budget, Dispatcher& dispatcher)
     : io_(io),
+      clock_(clock),
       acceptor_(io),
       timer_(io),
       limits_(limits),
@@ -451,26 +502,31 @@
 // and clients in its queue would wait in vain. The spare descriptor takes one in at a time, to be told so:
 // what it has asked is taken, and is owed an answer.
 void Frontend::accept_failed() {
-  // Danger: who has just connected is about to ask; what it has written by then would be lost.
-  evict(kAboutToAsk);
-  if (spare_ >= 0) {
-    ::close(std::exchange(spare_, -1));
-    error_code bad;
-    tcp::socket socket(io_);
-    acceptor_.non_blocking(true, bad);
-    acceptor_.accept(socket, bad);
-    if (bad) {
-      keep_spare();
-    } else {
-      admit(std::move(socket), true, kSpareWait);
-    }
-  }
+  accept_with_spare();
   timer_.expires_after(Clock::span(kAcceptPause));
   timer_.async_wait([this](error_code cancelled) {
     if (!cancelled) accept();
   });
 }
 
+// Whether one was taken in.
+bool Frontend::accept_with_spare() {
+  // Danger: who has just connected is about to ask; what it has written by then would be lost.
+  evict(kAboutToAsk);
+  if (spare_ < 0) return false;
+  ::close(std::exchange(spare_, -1));
+  error_code bad;
+  tcp::socket socket(io_);
+  acceptor_.non_blocking(true, bad);
+  acceptor_.accept(socket, bad);
+  if (bad) {
+    keep_spare();
+    return false;
+  }
+  admit(std::move(socket), true, kSpareWait);
+  return true;
+}
+
 void Frontend::keep_spare() {
   if (spare_ < 0) spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
 }
@@ -516,7 +572,11 @@
   drained_ = std::move(done);
   double longest = 0;
   for (const RequestClass& c : catalog_.classes) longest = std::max(longest, std::min(c.give_up, kMostDrain));
-  last_answer_ = Clock::Steady::now() + Clock::span(longest + kLastAnswer);
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  last_answer_ = now + Clock::span(longest + kLastAnswer);
+  last_accept_ = now + Clock::span(std::max(kAcceptOn, longest - kLastRequest));
+  // Danger: what was taken before the drain has a time of its own, which may be longer than the node lives.
+  dispatcher_.answer_by(clock_.now() + longest + kLastAnswer);
   const auto after = [this](double seconds, void (Frontend::*step)()) {
     const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(seconds));
     timer->async_wait([this, timer, step](error_code) { (this->*step)(); });
@@ -526,14 +586,25 @@
 }
 
 void Frontend::stop_accepting() {
-  // What has come up to now is still taken in.
+  // What has come up to now is still taken in. Danger: where descriptors are short the queue of the listener
+  // is not empty, and closing it resets them all.
   error_code bad;
   acceptor_.non_blocking(true, bad);
   while (sessions_.size() < limits_.most + limits_.overflow) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, bad);
-    if (bad) break;
-    admit(std::move(socket));
+    if (bad == asio::error::would_block || bad == asio::error::try_again) break;
+    if (!bad) {
+      admit(std::move(socket));
+    } else if (!accept_with_spare()) {
+      break;
+    }
+  }
+  const bool empty = bad == asio::error::would_block || bad == asio::error::try_again;
+  if (!empty && Clock::Steady::now() < last_accept_) {
+    // Not the timer of a failed accept: one may be under way beside this.
+    const auto again = std::make_shared<asio::steady_timer>(io_, Clock::span(kAcceptPause));
+    return again->async_wait([this, again](error_code) { stop_accepting(); });
   }
   acceptor_.close(bad);
   end_if_drained();
@@ -541,15 +612,8 @@
 
 void Frontend::close_idle() {
   closing_ = true;
-  std::vector<std::shared_ptr<Session>> quiet;
-  for (const std::shared_ptr<Session>& session : sessions_) {
-    if (session->is_idle() && !session->has_unread()) {
-      quiet.push_back(session);
-    } else {
-      session->hurry();
-    }
-  }
-  for (const std::shared_ptr<Session>& session : quiet) session->close();
+  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+  for (const std::shared_ptr<Session>& session : all) session->wind_up();
   end_if_drained();
 }
 
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -25,8 +25,8 @@
     double busy_retry_after = 0;
   };
 
-  Frontend(boost::asio::io_context& io, const Limits& limits, Catalog catalog, Budget& budget,
-           Dispatcher& dispatcher);
+  Frontend(boost::asio::io_context& io, const Clock& clock, const Limits& limits, Catalog catalog,
+           Budget& budget, Dispatcher& dispatcher);
   ~Frontend();
   Frontend(const Frontend&) = delete;
   Frontend& operator=(const Frontend&) = delete;
@@ -53,10 +53,12 @@
   bool evict(double spared);
   void ended(Session& session);
   void stop_accepting();
+  bool accept_with_spare();
   void close_idle();
   void end_if_drained();
 
   boost::asio::io_context& io_;
+  const Clock& clock_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;  // a pause after a failed accept; then for the drain
   Limits limits_;
@@ -70,6 +72,7 @@
   int spare_ = -1;  // a descriptor in reserve
   bool accepting_ = false, draining_ = false, closing_ = false;
   Clock::Steady::time_point last_answer_;  // of a drain
+  Clock::Steady::time_point last_accept_;  // of a drain, where descriptors are short
   std::function<void()> drained_;
 };
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -135,7 +135,7 @@
     node::Dispatcher dispatcher(io, clock, settings, config.seed, config.max_open, upstream,
                                 {[&discovery] { discovery.watch(); }, [&discovery] { discovery.refresh(); }});
     to = &dispatcher;
-    node::Frontend frontend(io, {shares.clients, shares.overflow, settings.max_retry_after / 2},
+    node::Frontend frontend(io, clock, {shares.clients, shares.overflow, settings.max_retry_after / 2},
                             {config.class_names, config.tenant_names, settings.classes}, budget, dispatcher);
     try {
       frontend.listen(config.listen);
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -99,7 +99,7 @@
   asio::steady_timer timer;
   Sender sender;
   std::shared_ptr<const HttpRequest> request;
-  Clock::Steady::time_point until;
+  Clock::Steady::time_point until, send_by;
   std::string wire;  // the request as it is sent; empty again once it is out
   std::size_t written = 0;
   bool sent = false;  // its last byte is written: from here on it may have run
@@ -111,6 +111,7 @@
   std::shared_ptr<Pool> pool;
   Budget::Share share;  // of the request as it is sent, then of the answer as it comes
   int interim = 0;
+  std::optional<Outcome> ending;  // how it will be reported: decided, but not done yet
   bool ended = false;
 
   void begin(Upstream& owner, const std::shared_ptr<Attempt>& self, std::shared_ptr<Connection> on);
@@ -151,15 +152,15 @@
   pools_.erase(at);  // what is still out on its connections holds on to it; names are ever new
   // Danger: another server may stand at its address by now, and take in what was meant for this one. The
   // module hears of the end after it has heard that the server is gone.
-  for (const std::shared_ptr<Attempt>& attempt : pool->waiting) end_later(attempt, Outcome::kDialFailed);
-  pool->waiting.clear();
+  const std::deque<std::shared_ptr<Attempt>> waiting = std::exchange(pool->waiting, {});
+  for (const std::shared_ptr<Attempt>& attempt : waiting) end_later(attempt, Outcome::kDialFailed);
 }
 
 Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const HttpRequest>& request,
-                                 double timeout, bool repeatable, Sender sender) {
+                                 Time time, bool repeatable, Sender sender) {
   const auto attempt = std::make_shared<Attempt>(io_, budget_, std::move(sender));
   const auto at = pools_.find(server);
-  if (at == pools_.end() || !(timeout > 0)) {
+  if (at == pools_.end() || !(time.timeout > 0) || !(time.send_by > 0)) {
     end_later(attempt, Outcome::kNotSent);
     return attempt;
   }
@@ -167,12 +168,10 @@
   attempt->request = request;
   attempt->repeatable = repeatable;
   attempt->pool->spare.request();
-  attempt->until = Clock::Steady::now() + Clock::span(timeout);
-  attempt->timer.expires_at(attempt->until);
-  attempt->timer.async_wait([this, alive = alive_, attempt](error_code cancelled) {
-    if (cancelled || !*alive || attempt->ended) return;
-    finish(attempt, attempt->sent ? Outcome::kTimedOut : Outcome::kDialFailed, false);
-  });
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  attempt->until = now + Clock::span(time.timeout);
+  attempt->send_by = now + Clock::span(std::min(time.timeout, time.send_by));
+  arm(attempt);
   if (std::shared_ptr<Connection> connection = take_idle(*attempt->pool, repeatable)) {
     attempt->begin(*this, attempt, std::move(connection));
   } else if (is_resting(*attempt->pool)) {
@@ -189,7 +188,40 @@
   return attempt;
 }
 
+// One timer: first for the sending, where that has less time, then for the answer.
+void Upstream::arm(const std::shared_ptr<Attempt>& attempt) {
+  attempt->timer.expires_at(attempt->sent ? attempt->until : attempt->send_by);
+  attempt->timer.async_wait([this, alive = alive_, attempt](error_code cancelled) {
+    if (cancelled || !*alive || attempt->ended) return;
+    if (attempt->sent && Clock::Steady::now() < attempt->until) return arm(attempt);
+    // Where a repeat may not be sent any more, that is not the server's doing.
+    const bool over = attempt->send_by < attempt->until;
+    finish(attempt,
+           attempt->sent ? Outcome::kTimedOut
+           : over        ? Outcome::kNotSent
+                         : Outcome::kDialFailed,
+           false);
+  });
+}
+
+void Upstream::end_by(const Handle& handle, Clock::Steady::time_point latest) {
+  const std::shared_ptr<Attempt> attempt = handle.lock();
+  if (!attempt || attempt->ended || attempt->until <= latest) return;
+  attempt->until = latest;
+  attempt->send_by = std::min(attempt->send_by, latest);
+  if (attempt->pool) arm(attempt);
+}
+
+void Upstream::withdraw(const Handle& handle) {
+  const std::shared_ptr<Attempt> attempt = handle.lock();
+  if (attempt && !attempt->sent) end_later(attempt, Outcome::kNotSent);
+}
+
 void Upstream::end_later(const std::shared_ptr<Attempt>& attempt, Outcome outcome) {
+  if (attempt->ended || attempt->ending) return;
+  attempt->ending = outcome;
+  // Danger: a connection that is free in the meantime would be given to it.
+  if (attempt->pool) std::erase(attempt->pool->waiting, attempt);
   asio::post(io_, [this, alive = alive_, attempt, outcome] {
     if (*alive) finish(attempt, outcome, false);
   });
@@ -197,8 +229,7 @@
 
 void Upstream::cancel(const Handle& handle) {
   const std::shared_ptr<Attempt> attempt = handle.lock();
-  if (!attempt || attempt->ended) return;
-  end_later(attempt, Outcome::kCancelled);
+  if (attempt) end_later(attempt, Outcome::kCancelled);
 }
 
 // ---------------------------------------------------------------- connections
@@ -227,7 +258,7 @@
     // A start that was told meanwhile is the one that answered, unless the server has moved.
     if (connection->where == pool->where) connection->process = pool->process;
     connection->socket.set_option(tcp::no_delay(true), ignored);
-    return release(connection, true);
+    return release(connection, true, Clock::Steady::now());
   }
   drop(connection);
   pool->spare.failed();
@@ -288,7 +319,8 @@
 
 // A connection that is free serves who waits for one, even while that one's own dial is under way; but one
 // that has just carried an answer rests before.
-void Upstream::release(const std::shared_ptr<Connection>& connection, bool fresh) {
+void Upstream::release(const std::shared_ptr<Connection>& connection, bool fresh,
+                       Clock::Steady::time_point since) {
   const std::shared_ptr<Pool> pool = connection->pool;
   // Danger: bytes that nobody asked for would be taken for the answer to the next request.
   if (connection->process != pool->process || !pool->usable || connection->buffer.size() > 0 ||
@@ -315,7 +347,8 @@
   const auto end = [this, alive = alive_, connection, turn](error_code cancelled) {
     if (!cancelled && *alive && connection->idle && connection->idle_turn == turn) drop(connection);
   };
-  connection->timer.expires_after(Clock::span(limits_.idle_close * kIdlePart));
+  // Danger: the server counts from its answer, which may have lain here while this node was away.
+  connection->timer.expires_at(since + Clock::span(limits_.idle_close * kIdlePart));
   connection->timer.async_wait(end);
   connection->socket.async_wait(tcp::socket::wait_read, end);
   if (!pool->waiting.empty()) serve_rested(pool);
@@ -387,7 +420,8 @@
   // turn after this.
   const bool may = sender.may_send();
   begun = Clock::Steady::now();
-  if (!may || !pool->usable || connection->process != pool->process || begun >= until)
+  if (ended || ending) return;
+  if (!may || !pool->usable || connection->process != pool->process || begun >= send_by)
     return owner.end_later(self, Outcome::kNotSent);
   if (std::exchange(connection->used, true)) idle = seconds_of(begun - connection->rested);
   HttpRequest head;
@@ -417,7 +451,7 @@
     } else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
       return connection->socket.async_wait(tcp::socket::wait_write, [&owner, alive = owner.alive_, self,
                                                                      held = connection](error_code problem) {
-        if (!*alive || self->ended) return;
+        if (!*alive || self->ended || self->ending) return;
         if (problem) return owner.finish(self, Outcome::kDialFailed, false);
         self->write(owner, self);
       });
@@ -426,6 +460,7 @@
     }
   }
   sent = true;
+  if (send_by < until) owner.arm(self);
   wire = {};
   share.keep(0);
   read(owner, self);
@@ -500,13 +535,13 @@
   end.outcome = outcome;
   if (const std::shared_ptr<Connection> connection = std::exchange(attempt->connection, nullptr)) {
     // An answer that came soon can't have lain there for long: most are spared the look.
-    const bool long_ago = seconds_of(Clock::Steady::now() - attempt->begun) >= kAway;
-    if (long_ago && attempt->parser && attempt->parser->is_done()) {
-      const double age = look_at(connection->socket.native_handle()).age;
-      end.unread = age >= kAway ? age : 0;
-    }
+    const Clock::Steady::time_point now = Clock::Steady::now();
+    double age = 0;
+    if (seconds_of(now - attempt->begun) >= kLateLook && attempt->parser && attempt->parser->is_done())
+      age = look_at(connection->socket.native_handle()).age;
+    end.unread = age >= kAway ? age : 0;
     if (keep) {
-      release(connection, false);
+      release(connection, false, now - Clock::span(age));
     } else {
       drop(connection);
     }
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -53,11 +53,22 @@
   // It has left the list: attempts that are out go on, nothing new is to come.
   void retire(const std::string& server);
 
+  // How long an attempt may take, in s from its start.
+  struct Time {
+    double timeout = 0;  // in all
+    // Until its last byte is written; at most `timeout`. Danger: a repeat is harmless for a while only.
+    double send_by = timeout;
+  };
+
   // Sends a request, once, and reports exactly once, never from within this call. One that is not
   // `repeatable` is kept off connections that may have been dropped while they were idle. One whose time is
   // over before its first byte, or that may not be sent by then, ends as kNotSent.
-  Handle start(const std::string& server, const std::shared_ptr<const HttpRequest>& request, double timeout,
+  Handle start(const std::string& server, const std::shared_ptr<const HttpRequest>& request, Time time,
                bool repeatable, Sender sender);
+  // It ends by then, if not sooner.
+  void end_by(const Handle& attempt, Clock::Steady::time_point latest);
+  // One whose last byte is not written ends as kNotSent, and no more of it is; any other goes on.
+  void withdraw(const Handle& attempt);
   // Closes the attempt's connection; it is reported as kCancelled, unless its end is on its way already.
   void cancel(const Handle& attempt);
 
@@ -71,13 +82,16 @@
   void dialled(const std::shared_ptr<Pool>& pool, const std::shared_ptr<Connection>& connection, bool up);
   std::shared_ptr<Connection> take_idle(Pool& pool, bool repeatable);
   static bool is_resting(const Pool& pool);
-  void release(const std::shared_ptr<Connection>& connection, bool fresh);
+  // `since`: when it began to be idle.
+  void release(const std::shared_ptr<Connection>& connection, bool fresh, Clock::Steady::time_point since);
   void serve_waiting(Pool& pool);
   void serve_rested(const std::shared_ptr<Pool>& pool);
   void drop(const std::shared_ptr<Connection>& connection);
   void forget(Pool& pool, const Connection& connection);
   void drop_idle(Pool& pool);
   bool make_room();
+  void arm(const std::shared_ptr<Attempt>& attempt);
+  // Nothing more is written of it from here on; it is reported in a moment.
   void end_later(const std::shared_ptr<Attempt>& attempt, Outcome outcome);
   void finish(const std::shared_ptr<Attempt>& attempt, Outcome outcome, bool keep);
 
--- a/node/validation.cpp
+++ b/node/validation.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kLongestId = 128;
+constexpr double kLongestWait = 3600;  // s; whatever the settings say, and within what a timer can hold
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -73,13 +74,13 @@
   event.id = *id;
 
   const RequestClass& c = catalog.classes[event.request_class];
-  event.time_left = c.give_up;
+  event.time_left = std::min(c.give_up, kLongestWait);
   if (request.count("X-Timeout-Ms") > 0) {
     const auto text = only(request, "X-Timeout-Ms");
     const auto ms = text ? whole(*text) : std::nullopt;
     if (!ms || *ms == 0) return bad("X-Timeout-Ms is not a number of milliseconds");
     // Danger: whoever asks for days would hold a place for as long.
-    event.time_left = std::min(static_cast<double>(*ms) / 1000, c.give_up);
+    event.time_left = std::min(static_cast<double>(*ms) / 1000, event.time_left);
   }
 
   const auto key = only(request, "Idempotency-Key");
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -301,13 +301,22 @@
     for (const Attempt& a : p.attempts) {
       if (!a.may_have_run || c.effect == Effect::kSafe) continue;
       if (c.effect == Effect::kUnsafe || now_ > a.sent + c.dedup_window) return false;
-      const Server& t = servers_[a.server].told;
-      if (c.dedup_scope == DedupScope::kZone && t.zone != s.told.zone) return false;
-      if (c.dedup_scope == DedupScope::kCell && t.cell != s.told.cell) return false;
+      if (c.dedup_scope == DedupScope::kZone && a.zone != s.told.zone) return false;
+      if (c.dedup_scope == DedupScope::kCell && a.cell != s.told.cell) return false;
     }
     return true;
   }
 
+  // Until when one more attempt is dropped as a repeat by those that may have run.
+  double harmless_until(const Pending& p) const {
+    const RequestClass& c = settings_.classes[p.request_class];
+    double out = kForever;
+    for (const Attempt& a : p.attempts) {
+      if (a.may_have_run && c.effect == Effect::kKeyed) out = std::min(out, a.sent + c.dedup_window);
+    }
+    return out;
+  }
+
   bool may_use(std::size_t i, const Pending& p, bool healthy, bool untried, bool room) {
     ServerNode& s = servers_[i];
     return !(healthy && failing(s) >= kIll) && !(untried && p.tried(i)) && !(room && !has_room(p, s)) &&
@@ -421,8 +430,9 @@
     s.sent_sum += now_;
     in_flight_ += 1;
     s.named += 1;
-    p.attempts.push_back({*server, now_});
-    out_->push_back(Send{id, s.told.address, limit});
+    const double send_by = harmless_until(p);
+    p.attempts.push_back({*server, now_, s.told.zone, s.told.cell});
+    out_->push_back(Send{id, s.told.address, limit, send_by});
     return true;
   }
 
--- a/src/support.h
+++ b/src/support.h
@@ -113,6 +113,7 @@
 struct Attempt {
   std::size_t server = 0;
   double sent = 0;
+  int zone = 0, cell = 0;  // the server's then: it may come back elsewhere
   bool open = true, may_have_run = true;
 };
 
--- a/tests/pause_test.cpp
+++ b/tests/pause_test.cpp
@@ -174,7 +174,7 @@
   request->prepare_payload();
   std::optional<Upstream::End> end;
   const Upstream::Handle attempt = upstream.start(
-      "s0", request, 10, true, {[] { return true; }, [&](Upstream::End&& e) { end = std::move(e); }});
+      "s0", request, {10}, true, {[] { return true; }, [&](Upstream::End&& e) { end = std::move(e); }});
   // Until the request is out; then nobody turns the loop.
   while (server.requests().empty()) io.run_one_for(2ms);
   EXPECT_FALSE(end);
@@ -203,7 +203,7 @@
   const auto start = [&](double timeout, std::function<bool()> may) {
     const std::size_t before = ends.size();
     const Upstream::Handle attempt =
-        upstream.start("s0", request, timeout, true,
+        upstream.start("s0", request, {timeout}, true,
                        {std::move(may), [&](Upstream::End&& e) { ends.push_back(e.outcome); }});
     pass(30ms);
     io.restart();
