--- /dev/null
+++ b/tests/customers_test.cpp
@@ -0,0 +1,201 @@
+// Other customers' settings: classes, effects, deadlines and limits come from there alone, and what can't be
+// used is said with its field.
+#include "node_harness.h"
+
+namespace thymewood::node {
+namespace {
+
+// Three customers who have nothing in common: short and strict, long and forgiving, and one with a single
+// class.
+const Customer kCustomers[] = {
+    {"Short",
+     R"({"name":"peek","aim":0.1,"giveUp":0.3,"effect":"safe"},)"
+     R"({"name":"fire","aim":0.2,"giveUp":0.4,"effect":"unsafe"},)"
+     R"({"name":"note","aim":0.2,"giveUp":0.5,"effect":"keyed","group":"all","dedupWindow":0.4,"lateWorth":1})",
+     R"("drainGrace":0.0,"startCapacity":1.0,"rampTime":0.0)"},
+    {"Long",
+     R"({"name":"seal","aim":6.0,"giveUp":12.0,"effect":"keyed","group":"zone","dedupWindow":60.0,"lateWorth":0.2},)"
+     R"({"name":"read","aim":3.0,"giveUp":7.0,"effect":"safe","lateWorth":0.9,"note":null},)"
+     R"({"name":"burn","aim":6.0,"giveUp":9.0,"effect":"unsafe"})",
+     R"("drainGrace":30.0,"askWithin":120.0,"startCapacity":0.1,"rampTime":60.0,"tipMultiple":2.0,"tipAfter":5.0)"},
+    {"One", R"({"name":"only","aim":1e3,"giveUp":1e300,"effect":"keyed","group":"cell"})",
+     R"("askWithin":0.0)"},
+};
+
+struct Class {
+  std::string name, effect;
+};
+
+std::vector<Class> classes_of(const Customer& customer) {
+  std::vector<Class> out;
+  const std::string text = customer.categories;
+  const auto value = [&](std::size_t from, const std::string& field) {
+    const std::size_t at = text.find("\"" + field + "\":\"", from) + field.size() + 4;
+    return text.substr(at, text.find('"', at) - at);
+  };
+  for (std::size_t at = text.find("{\"name\""); at != std::string::npos; at = text.find("{\"name\"", at + 1))
+    out.push_back({value(at, "name"), value(at, "effect")});
+  return out;
+}
+
+Ask ask_of(const Class& c, const std::string& id) {
+  Ask out{.kind = c.name, .id = id, .timeout = ""};
+  if (c.effect == "safe") out.method = "GET", out.body = "";
+  if (c.effect == "keyed") out.key = "k-" + id;
+  return out;
+}
+
+class EachCustomer : public testing::TestWithParam<Customer> {
+ protected:
+  static ConfigText config() {
+    ConfigText out;
+    out.categories = GetParam().categories;
+    out.rules = GetParam().rules;
+    return out;
+  }
+};
+
+TEST_P(EachCustomer, IsServedByItsOwnClassesAndNoOthers) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server}, config());
+  Wire client = d.client();
+  for (const Class& c : classes_of(GetParam())) {
+    client.write(ask_of(c, "r-" + c.name).text());
+    EXPECT_EQ(status_of(client.read_message()), 200) << c.name;
+    // An effect that is not the class's own is turned down.
+    Ask wrong = ask_of(c, "w-" + c.name);
+    wrong.key = wrong.key.empty() ? "k" : "";
+    client.write(wrong.text());
+    EXPECT_EQ(status_of(client.read_message()), 400) << c.name;
+  }
+  for (const char* foreign : {"look", "close", "dance"}) {
+    client.write(Ask{.kind = foreign, .id = std::string("f-") + foreign}.text());
+    EXPECT_EQ(status_of(client.read_message()), 400);
+  }
+}
+
+// What an error means follows from the effect: an unsafe request goes out once, a keyed one within its group
+// and window, a safe one as often as there are attempts; and only what is harmless to repeat is refused.
+TEST_P(EachCustomer, IsResentAsItsEffectsPermit) {
+  FakeServer one(replies(500, "no")), two(replies(500, "no"));
+  ConfigText text = config();
+  text.known =
+      list(7, true, member("s0", one.address(), "up", 1) + "," + member("s1", two.address(), "up", 2));
+  Deployment d({}, text);
+  const auto sent = [&](const std::string& id) {
+    std::size_t out = 0;
+    for (FakeServer* server : {&one, &two})
+      for (const std::string& request : server->requests()) out += field_of(request, "X-Request-ID") == id;
+    return out;
+  };
+  for (const Class& c : classes_of(GetParam())) {
+    Wire client = d.client();
+    const std::string id = "r-" + c.name;
+    client.write(ask_of(c, id).text());
+    const int status = status_of(client.read_message());
+    const bool elsewhere = c.effect == "safe" || c.name == "note" || c.name == "seal";
+    EXPECT_GE(sent(id), 1U) << c.name;
+    EXPECT_LE(sent(id), elsewhere ? 3U : 1U)
+        << c.name << ": the other server is of another cell, or it is unsafe";
+    EXPECT_EQ(status, c.effect == "safe" || c.name == "note" ? 503 : 502) << c.name;
+  }
+}
+
+// A request without a word of its time has the class's; whoever hangs, it is answered. Where the class's is
+// an hour, it says what it waits.
+TEST_P(EachCustomer, IsAnsweredWhateverHangs) {
+  FakeServer hangs([](Wire&, const std::string&) { return true; });
+  Deployment d({&hangs}, config());
+  std::vector<Wire> clients;
+  for (const Class& c : classes_of(GetParam())) {
+    clients.push_back(d.client());
+    Ask ask = ask_of(c, "r-" + c.name);
+    if (c.name == "only") ask.timeout = "700";
+    clients.back().write(ask.text());
+  }
+  for (Wire& client : clients) {
+    const int status = status_of(client.read_message());
+    EXPECT_TRUE(status == 502 || status == 503) << status;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, EachCustomer, testing::ValuesIn(kCustomers),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+// A short time is not eaten up by the node's margins: most of it is the server's.
+TEST(ShortDeadlines, AreMostlyTheServers) {
+  FakeServer server(replies(200, "ok"));
+  ConfigText config;
+  config.categories = kCustomers[0].categories;
+  Deployment d({&server}, config);
+  Wire client = d.client();
+  client.write(Ask{.kind = "fire", .timeout = "80"}.text());
+  ASSERT_EQ(status_of(client.read_message()), 200);
+  EXPECT_GE(std::stoi(field_of(server.requests()[0], "X-Timeout-Ms")), 50) << "40 ms were cut off";
+}
+
+struct Bad {
+  const char* what;
+  const char* categories;
+  const char* bounds;
+  const char* field;  // named in the error; nullptr: it is used
+};
+constexpr const char* kGoodBounds = R"("maxAttempts":2)";
+constexpr const char* kGoodClass = R"({"name":"a","aim":1,"giveUp":2,"effect":"safe"})";
+const Bad kSettings[] = {
+    {"NoDeadline", R"({"name":"a","aim":1,"effect":"safe"})", kGoodBounds, "giveUp"},
+    {"NoAim", R"({"name":"a","giveUp":1,"effect":"safe"})", kGoodBounds, "aim"},
+    {"NegativeDeadline", R"({"name":"a","aim":1,"giveUp":-2,"effect":"safe"})", kGoodBounds, "give_up"},
+    {"DeadlineNoNumber", R"({"name":"a","aim":1,"giveUp":"2","effect":"safe"})", kGoodBounds, "giveUp"},
+    {"DeadlineZero", R"({"name":"a","aim":1,"giveUp":0,"effect":"safe"})", kGoodBounds, nullptr},
+    {"DeadlineHuge", R"({"name":"a","aim":1,"giveUp":1e300,"effect":"safe"})", kGoodBounds, nullptr},
+    {"NoEffect", R"({"name":"a","aim":1,"giveUp":2})", kGoodBounds, "effect"},
+    {"UnknownEffect", R"({"name":"a","aim":1,"giveUp":2,"effect":"maybe"})", kGoodBounds, "effect"},
+    {"NoGroup", R"({"name":"a","aim":1,"giveUp":2,"effect":"keyed"})", kGoodBounds, "group"},
+    {"NegativeWindow", R"({"name":"a","aim":1,"giveUp":2,"effect":"keyed","group":"all","dedupWindow":-1})",
+     kGoodBounds, "dedup_window"},
+    {"WindowZero", R"({"name":"a","aim":1,"giveUp":2,"effect":"keyed","group":"all","dedupWindow":0})",
+     kGoodBounds, nullptr},
+    {"NoClass", "", kGoodBounds, nullptr},
+    {"IdleZero", kGoodClass, R"("idleClose":0)", "idleClose"},
+    {"IdleNegative", kGoodClass, R"("idleClose":-5)", "idleClose"},
+    {"IdleTiny", kGoodClass, R"("idleClose":0.0001)", nullptr},
+    {"IdleHuge", kGoodClass, R"("idleClose":1e300)", "idleClose"},
+    {"DialZero", kGoodClass, R"("dialTimeout":0)", "dialTimeout"},
+    {"NoAttempts", kGoodClass, R"("maxAttempts":0)", "max_attempts"},
+    {"AdviceHuge", kGoodClass, R"("retryAfter":true,"maxRetryAfter":1e300)", nullptr},
+    {"AdviceNegative", kGoodClass, R"("retryAfter":true,"maxRetryAfter":-1)", "max_retry_after"},
+};
+
+class Settled : public testing::TestWithParam<Bad> {};
+
+TEST_P(Settled, IsUsedOrSaidWithItsField) {
+  FakeServer server(replies(200, "ok"));
+  ConfigText config;
+  config.categories = GetParam().categories;
+  config.bounds = GetParam().bounds;
+  config.known = list(7, true, member("s0", server.address()));
+  if (GetParam().field != nullptr) {
+    Program program(config.text(), 0, false);
+    EXPECT_EQ(program.exit_status(), 2);
+    EXPECT_NE(program.log().find(GetParam().field), std::string::npos) << program.log();
+    return;
+  }
+  Program program(config.text());
+  for (int i = 0; i < 3; ++i) {
+    Wire client = Wire::to(program.port());
+    const std::string key = std::string(GetParam().what) == "WindowZero" ? "k" : "";
+    Ask ask{.kind = "a", .id = "r" + std::to_string(i), .timeout = "", .key = key};
+    if (key.empty()) ask.method = "GET", ask.body = "";
+    client.write(ask.text());
+    const int status = status_of(client.read_message());
+    const std::string what = GetParam().what;
+    EXPECT_EQ(status, what == "DeadlineZero" ? 503 : what == "NoClass" ? 400 : 200) << what;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Settled, testing::ValuesIn(kSettings),
+                         [](const auto& info) { return std::string(info.param.what); });
+
+}  // namespace
+}  // namespace thymewood::node
