Wait for the first pushed list before callers are taken; an unreadable entry costs no other

The node listened, served the callers in its queue by the list of the process before it, and asked the agent beside that: Dispatcher::start, main.cpp. Callers are now let in with the first list, or after 1 s where the agent is silent, as it is while discovery is down. The whole list is asked for: it costs nothing there, and comes whether or not anything has changed. Ruled out: the look before each send (may_send), which takes in what is there and can't wait for what is not. - read_membership threw at the first entry with a bad address, status, group or name: the list was lost, the watch opened anew, and the same list came again; other servers' drains in it were missed. Such a server now counts as draining, one without a name is passed over, and the log names entry and field.

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -60,41 +60,58 @@
   return tcp::endpoint(address, port);
 }
 
+namespace {
+
+void read_member(const json::Value& item, const Directory& directory, const Clock& clock, Member& member) {
+  const std::string_view status = json::text(item, "status");
+  if (status == "up") {
+    member.server.state = ServerState::kReady;
+  } else if (status == "draining") {
+    member.server.state = ServerState::kDraining;
+  } else if (status == "removed") {
+    member.server.state = ServerState::kGone;
+  } else {
+    json::wrong("status", "up, draining or removed");
+  }
+  // One that has gone needs no more than its name.
+  if (json::find(item, "address") != nullptr || member.server.state != ServerState::kGone) {
+    const auto endpoint = parse_endpoint(json::text(item, "address"));
+    if (!endpoint) json::wrong("address", "an address with a port");
+    member.endpoint = *endpoint;
+  }
+  if (json::find(item, "zone") != nullptr) {
+    const auto at = std::find(directory.zones.begin(), directory.zones.end(), json::text(item, "zone"));
+    member.server.zone = static_cast<int>(at - directory.zones.begin());
+  }
+  member.server.cell = json::whole_or(item, "group", 0);
+  member.server.weight = json::number_or(item, "weight", 1);
+  if (json::find(item, "since_ms") != nullptr) {
+    constexpr std::uint64_t kFarthest = 1ULL << 53;
+    member.server.started =
+        clock.from_unix_ms(static_cast<std::int64_t>(std::min(json::token(item, "since_ms"), kFarthest)));
+  }
+}
+
+}  // namespace
+
 Membership read_membership(const json::Value& in, const Directory& directory, const Clock& clock) {
   Membership out;
   out.index = json::token(in, "index");
   out.full = json::flag(in, "snapshot");
+  std::size_t place = 0;
   for (const json::Value& item : json::array(in, "endpoints").GetArray()) {
     Member member;
-    member.server.address = json::text(item, "name");
-    const std::string_view status = json::text(item, "status");
-    if (status == "up") {
-      member.server.state = ServerState::kReady;
-    } else if (status == "draining") {
-      member.server.state = ServerState::kDraining;
-    } else if (status == "removed") {
-      member.server.state = ServerState::kGone;
-    } else {
-      json::wrong("status", "up, draining or removed");
-    }
-    // One that has gone needs no more than its name.
-    if (json::find(item, "address") != nullptr || member.server.state != ServerState::kGone) {
-      const auto endpoint = parse_endpoint(json::text(item, "address"));
-      if (!endpoint) json::wrong("address", "an address with a port");
-      member.endpoint = *endpoint;
+    try {
+      member.server.address = json::text(item, "name");
+      if (member.server.address.empty()) json::wrong("name", "a name");
+      read_member(item, directory, clock, member);
+    } catch (const std::exception& problem) {
+      if (out.complaint.empty())
+        out.complaint = "endpoints[" + std::to_string(place) + "]: " + problem.what();
+      if (member.server.state != ServerState::kGone) member.server.state = ServerState::kDraining;
     }
-    if (json::find(item, "zone") != nullptr) {
-      const auto at = std::find(directory.zones.begin(), directory.zones.end(), json::text(item, "zone"));
-      member.server.zone = static_cast<int>(at - directory.zones.begin());
-    }
-    member.server.cell = json::whole_or(item, "group", 0);
-    member.server.weight = json::number_or(item, "weight", 1);
-    if (json::find(item, "since_ms") != nullptr) {
-      constexpr std::uint64_t kFarthest = 1ULL << 53;
-      member.server.started =
-          clock.from_unix_ms(static_cast<std::int64_t>(std::min(json::token(item, "since_ms"), kFarthest)));
-    }
-    out.members.push_back(std::move(member));
+    ++place;
+    if (!member.server.address.empty()) out.members.push_back(std::move(member));
   }
   return out;
 }
@@ -303,7 +320,12 @@
     complain(std::string("discovery: ") + problem.what());
     return from->end();
   }
-  complained_ = false;
+  // An entry that can't be read is one server's: the others' drains count.
+  if (update.complaint.empty()) {
+    complained_ = false;
+  } else {
+    complain("discovery: " + update.complaint);
+  }
   // Danger: a change that is older than the list in hand would take back what came after it, a drain for one.
   // A whole list is another matter: discovery may have begun to count anew.
   if (!update.full && update.index < index_) return;
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -35,11 +35,13 @@
   std::uint64_t index = 0;
   bool full = false;
   std::vector<Member> members;
+  std::string complaint;  // of the first entry that can't be read, and its field; empty where all can
 };
 
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
 
-// Throws std::exception, naming the field.
+// Throws std::exception, naming the field, where no list can be made out. An entry that can't be read costs
+// no other: the server that it names gets nothing new, as one that drains; without a name it is passed over.
 Membership read_membership(const json::Value& in, const Directory& directory, const Clock& clock);
 
 class Discovery {
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -34,6 +34,10 @@
 // machine has counts as told whether or not a watch is open, and a grace may be a fraction of a second. It
 // answers at once and at no cost.
 constexpr double kReconnect = 0.05;
+// s; for the agent's first list. Danger: what it has counts as told from the first moment of a new process,
+// which knows the list of the one before it. The agent answers at once, but not while discovery is down, and
+// then no list is newer than the one that is known.
+constexpr double kFirstList = 1.0;
 
 }  // namespace
 
@@ -53,10 +57,20 @@
   for (const RequestClass& c : settings.classes) effects_.push_back(c.effect);
 }
 
-void Dispatcher::start(const Membership& known) {
+void Dispatcher::start(const Membership& known, std::function<void()> ready) {
   if (!known.members.empty()) members(known);
   happen(Started{});
-  if (!must_watch_) list_.watch();
+  if (must_watch_) return ready();
+  ready_to_take_ = std::move(ready);
+  const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(kFirstList));
+  timer->async_wait([this, timer](error_code cancelled) {
+    if (!cancelled) let_in();
+  });
+  list_.watch();
+}
+
+void Dispatcher::let_in() {
+  if (const auto ready = std::exchange(ready_to_take_, nullptr)) ready();
 }
 
 void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, Asker asker) {
@@ -143,6 +157,7 @@
     }
   }
   happen(std::move(event));
+  let_in();
 }
 
 void Dispatcher::fleet(const membership::FleetView& view) {
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -130,7 +130,8 @@
   node::Discovery discovery(
       io, config.discovery, config.directory, clock, config.seed,
       {[&to](const node::Membership& update) { to->members(update); }, [&to] { to->watch_failed(); }});
-  discovery.set_index(config.known.index);
+  // Where lists are pushed the whole one costs nothing, and is there whether or not anything has changed.
+  if (settings.must_watch) discovery.set_index(config.known.index);
   try {
     node::Dispatcher dispatcher(io, clock, settings, config.seed, config.max_open, upstream,
                                 {[&discovery] { discovery.watch(); }, [&discovery] { discovery.refresh(); }});
@@ -143,8 +144,8 @@
       std::cerr << "thymewood: listen: " << problem.code().message() << '\n';
       return kBadConfiguration;
     }
-    dispatcher.start(config.known);
-    frontend.start();
+    if (!config.known.complaint.empty()) std::clog << "known: " << config.known.complaint << '\n';
+    dispatcher.start(config.known, [&frontend] { frontend.start(); });
     std::unique_ptr<node::Peers> peers;
     asio::signal_set asked(io);
     try {
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -129,6 +129,33 @@
   EXPECT_EQ(d.discovery.calls().size(), 1U);
 }
 
+// One entry that can't be read is that server's misfortune: it gets nothing new until it can be read again,
+// and what the same list says of the others counts.
+TEST(Lists, AnEntryThatCantBeReadCostsNoOther) {
+  const char* const kUnread[] = {R"({"name":"s0","address":"nowhere","status":"up"})",
+                                 R"({"name":"s0","status":"up"})",
+                                 R"({"name":"s0","address":"127.0.0.1:9","status":"resting"})",
+                                 R"({"name":"s0","address":"127.0.0.1:9","status":"up","group":"x"})"};
+  for (const char* unread : kUnread) {
+    FakeServer odd(replies(200, "odd")), other(replies(200, "other"));
+    Deployment d({&odd, &other});
+    int n = 0;
+    const auto ask = [&] {
+      Wire client = d.client();
+      client.write(Ask{.id = "e" + std::to_string(++n)}.text());
+      return client.read_message();
+    };
+    const std::string nobody = R"({"status":"up"},7,{"name":"","address":"127.0.0.1:9","status":"up"})";
+    d.discovery.say(
+        list(8, false, unread + ("," + nobody) + "," + member("s1", other.address(), "draining")));
+    EXPECT_TRUE(eventually([&] { return status_of(ask()) == 503; })) << unread;
+    EXPECT_GE(d.program->logged("endpoints[0]: field '"), 1) << d.program->log();
+    d.discovery.say(list(9, false, member("s0", odd.address())));
+    EXPECT_TRUE(eventually([&] { return body_of(ask()) == "odd"; })) << unread;
+    EXPECT_EQ(d.discovery.calls().size(), 1U) << "no need to ask for the list anew";
+  }
+}
+
 // A change that is older than what is known takes nothing back, least of all a drain.
 TEST(Lists, AnOlderChangeIsPassedOver) {
   FakeServer drained(replies(200, "drained")), marker(replies(200, "marker"));
@@ -299,5 +326,48 @@
       << "five pauses; each was 0.5 to 1.5 s";
 }
 
+// The same from the first moment of a new process, which starts with the list that the one before it had: a
+// request that is there before the agent has spoken waits for its word.
+TEST(PushedLists, ANewProcessTakesNobodyBeforeTheAgentHasSpoken) {
+  FakeServer server(replies(200, "ok"));
+  // The agent's word has to come within the time that the node waits for it; a machine that is busy may miss
+  // that, and then it is tried again.
+  constexpr double kInTime = 0.5;
+  constexpr int kTries = 20;
+  bool in_time = false;
+  for (int i = 0; i < kTries && !in_time; ++i) {
+    Gate gate;
+    ScriptedDiscovery agent([&](Wire& wire, int) {
+      if (!gate.wait()) return;
+      wire.write(kHead + chunk(list(8, true, member("s0", server.address(), "draining")) + "\n"));
+      wire.read_rest();
+    });
+    const auto start = Steady::now();
+    Node node(agent, list(7, true, member("s0", server.address())), "automatic");
+    Wire client = Wire::to(node.program->port());
+    client.write(Ask{}.text());
+    // Long enough for an answer to a request that is taken at once.
+    pollfd answered{client.fd(), POLLIN, 0};
+    const bool early = ::poll(&answered, 1, 50) > 0;
+    gate.open();
+    in_time = seconds_since(start) < kInTime;
+    if (!in_time) continue;
+    EXPECT_FALSE(early);
+    EXPECT_EQ(status_of(client.read_message()), 503);
+    EXPECT_EQ(server.requests().size(), 0U) << "what the agent has counts as told";
+  }
+  EXPECT_TRUE(in_time);
+}
+
+// An agent that is silent, as it is while discovery is down, keeps no node from serving.
+TEST(PushedLists, ANewProcessServesByItsKnownListIfTheAgentIsSilent) {
+  FakeServer server(replies(200, "ok"));
+  ScriptedDiscovery agent([](Wire& wire, int) { wire.read_rest(); });
+  Node node(agent, list(7, true, member("s0", server.address())), "automatic");
+  const auto start = Steady::now();
+  EXPECT_EQ(node.status(), 200);
+  EXPECT_LT(seconds_since(start), 10) << "ready in time";
+}
+
 }  // namespace
 }  // namespace thymewood::node
