Let the test of a new process count from when the node listens, not from its start

Under the sanitizers beside a full machine it failed in 2 of 50 repeats: the node took over 0.5 s to come up in all 20 tries, and the time was counted from before its start.

--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -342,9 +342,20 @@
       wire.write(kHead + chunk(list(8, true, member("s0", server.address(), "draining")) + "\n"));
       wire.read_rest();
     });
-    const auto start = Steady::now();
-    Node node(agent, list(7, true, member("s0", server.address())), "automatic");
-    Wire client = Wire::to(node.program->port());
+    ConfigText config;
+    config.known = list(7, true, member("s0", server.address()));
+    config.mode = "automatic";
+    config.discovery = agent.address();
+    Program program(config.text(), 0, false);
+    // The node counts from when it says that it listens; it may take long to come that far.
+    auto start = Steady::now();
+    ASSERT_TRUE(eventually([&] {
+      const auto looked = Steady::now();
+      if (program.port() != 0) return true;
+      start = looked;
+      return false;
+    }));
+    Wire client = Wire::to(program.port());
     client.write(Ask{}.text());
     // Long enough for an answer to a request that is taken at once.
     pollfd answered{client.fd(), POLLIN, 0};
