--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -102,9 +102,4 @@
                          [](int sum, const auto& server) { return sum + server->second_copies(); });
 }
 
-int Deployment::short_lengths() const {
-  return std::accumulate(servers_.begin(), servers_.end(), 0,
-                         [](int sum, const auto& server) { return sum + server->short_lengths(); });
-}
-
 }  // namespace review
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -41,9 +41,7 @@
   // The process id of a node, which the script writes into the folder.
   [[nodiscard]] int node_process(std::size_t node) const;
   [[nodiscard]] Discovery& discovery() { return *discovery_; }
-  // Sums over all servers.
-  [[nodiscard]] int second_copies() const;
-  [[nodiscard]] int short_lengths() const;
+  [[nodiscard]] int second_copies() const;  // sent by all servers
 
  private:
   std::string folder_;
--- a/review/common/server.cpp
+++ b/review/common/server.cpp
@@ -85,16 +85,7 @@
     const double time = effect == Effect::kUnsafe ? options_.unsafe_time : options_.keyed_time;
     std::uniform_real_distribution<double> spread(0.5, 1.5);
     push(at + time * spread(random_), Step::kAnswer,
-         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(stated_length(id, body.size())) + "\r\n\r\n" +
-             body);
-  }
-
-  std::size_t stated_length(const std::string& id, std::size_t size) {
-    if (std::uniform_real_distribution<double>(0, 1)(random_) >= options_.short_length_share) return size;
-    ++server_.short_lengths_;
-    server_.ledger_.note("spoilt answer id=" + id + " Content-Length=" + std::to_string(size / 2) +
-                         " body=" + std::to_string(size));
-    return size / 2;
+         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
   void answer(const PlannedStep& planned) {
@@ -108,9 +99,10 @@
     begin_next(planned.at);
   }
 
-  // Sent only if nothing else waits on the connection: no byte of a next request has arrived.
+  // Sent only if nothing else waits on the connection: no byte of a next request has arrived. Bytes that are
+  // still unread may have arrived, so they count.
   void send_second_copy(const PlannedStep& planned) {
-    if (is_busy_ || !received_.is_empty()) return;
+    if (is_busy_ || !received_.is_empty() || socket_.wait_readable(now())) return;
     ++server_.second_copies_;
     server_.ledger_.note("second_copy server=" + server_.name_ + " \"" +
                          planned.bytes.substr(planned.bytes.find("made by")) + "\"");
--- a/review/common/server.h
+++ b/review/common/server.h
@@ -21,8 +21,6 @@
   double one_way_delay = 0;                     // s; of the network, in each direction
   // Share of the answers that are followed by a second copy, and its delay in s.
   double second_copy_share = 0, second_copy_after_min = 0, second_copy_after_max = 0;
-  // Share of the answers whose Content-Length is less than the body that is sent.
-  double short_length_share = 0;
 };
 
 class Server {
@@ -35,7 +33,6 @@
   [[nodiscard]] const std::string& name() const { return name_; }
   [[nodiscard]] int port() const { return listener_.port; }
   [[nodiscard]] int second_copies() const { return second_copies_; }
-  [[nodiscard]] int short_lengths() const { return short_lengths_; }
 
   // The process ends: its connections are reset and new ones are refused.
   void end();
@@ -50,7 +47,7 @@
   Ledger& ledger_;
   Listener listener_;
   std::atomic<bool> has_ended_{false};
-  std::atomic<int> second_copies_{0}, short_lengths_{0};
+  std::atomic<int> second_copies_{0};
   std::list<std::thread> threads_;  // of the accepted connections; used by the accepting thread
   std::thread accepting_;
 };
