--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../common/run_case.sh" 3
+# Exit status: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+exec "$(dirname "$0")/../common/run_case.sh" 3 "${TROUBLE:-1}"
--- a/review/common/run_case.sh
+++ b/review/common/run_case.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# run_case.sh CASE: plays review/CASE with real nodes. The scenario program of the case holds discovery, servers and
+# run_case.sh CASE TROUBLE: plays review/CASE with real nodes. The scenario program of the case holds discovery, servers and
 # clients; it writes a configuration for each node, and the nodes are started with the command of the deploy file.
-# Exit status: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+# Exit status: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE 0 leaves the disruption out.
 set -uo pipefail
-case=$1
+case=$1 trouble=$2
 cd "$(dirname "$0")/../.."
 scenario=build-review/case_$case
 run_command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
@@ -14,14 +14,15 @@
 scenario_pid=
 cleanup() {
   exec 2>/dev/null  # the shell reports each process that it ends
-  for pid in "${node_pids[@]}" $scenario_pid; do kill -KILL "$pid"; done
+  [ -z "$scenario_pid" ] || kill -TERM "$scenario_pid"  # timeout passes it on to the scenario program
+  for pid in "${node_pids[@]}"; do kill -KILL "$pid"; done
   wait
   rm -rf "$scratch"
 }
 trap cleanup EXIT
 trap 'exit 2' INT TERM
 
-timeout -k 1 110 "$scenario" "$scratch" "review/$case/record.txt" "${TROUBLE:-1}" &
+timeout -k 1 110 "$scenario" "$scratch" "review/$case/record.txt" "$trouble" &
 scenario_pid=$!
 for _ in $(seq 100); do
   [ -e "$scratch/ready" ] && break
