Count header fields and pipelined requests in the memory budget

Cause: the budget counted bytes on the wire, the parser allocates each field on its own: about 80 bytes and the text. Nothing counted the fields of incomplete, pending or answered messages. The same cause on related paths: requests pipelined behind one in flight were buffered without a reservation, the fields of responses were not counted, and a rejected request kept its memory until the connection closed.

Change: MeasuringParser knows the memory of what it has received; RequestReader reserves it with its buffer before bytes are kept and answers 503 beyond the budget. Incomplete requests of over 16 KiB may use half of the budget, so that the usual requests are still read.

--- a/node/client_session.cpp
+++ b/node/client_session.cpp
@@ -24,7 +24,7 @@
 constexpr double kInvalidRequestDelay = 0.1;  // s; from an invalid request to the next read
 constexpr double kLingerTimeout = 0.5;        // s; before the close, for the client to read the last response
 constexpr std::size_t kMaxLingerBytes = std::size_t{256} * 1024;  // discarded after the last response
-constexpr std::size_t kRequestHeadSize = 1024;  // bytes; estimated size of a request without its body
+constexpr std::size_t kPendingRequestSize = 1024;  // bytes; of the state of a request besides its message
 constexpr unsigned kHttp11 = 11;
 
 // A request in flight and its reservation in the memory budget.
@@ -61,7 +61,7 @@
       socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       mode_(mode),
-      reader_(socket_),
+      reader_(socket_, context.memory_budget),
       memory_(context.memory_budget) {}
 
 void ClientSession::start(double first_request_timeout) {
@@ -155,10 +155,7 @@
   } else if (!has_sent_valid_request_ && table_entry_.idle_list == nullptr) {
     context_->sessions.add_idle(*this, SessionTable::IdleKind::kNoValidRequest);
   }
-  if (!reader_.has_begun()) {
-    reader_.shrink_buffer();
-    memory_.resize(reader_.buffer_capacity());
-  }
+  if (!reader_.has_begun()) reader_.shrink_buffer();
   read();
   if (context_->shutdown.is_closing_sessions()) close_gracefully();
 }
@@ -193,10 +190,6 @@
 void ClientSession::on_received(std::size_t size) {
   reader_.on_received(size);
   if (state_ == State::kReading) parse();
-  if (state_ == State::kReading && !memory_.try_resize(reader_.buffer_capacity() + reader_.body_capacity())) {
-    keep_alive_ = false;
-    return shed();
-  }
   read();
 }
 
@@ -214,6 +207,9 @@
       return reject(reader_.rejection(), Framing::kLost);
     case RequestReader::Status::kWriteFailed:
       return close(SessionEnd::kWriteFailed);
+    case RequestReader::Status::kOutOfMemory:
+      keep_alive_ = false;
+      return shed();
   }
 }
 
@@ -280,8 +276,7 @@
 
 void ClientSession::dispatch(Request&& event, HttpRequest&& request) {
   const auto in_flight = std::make_shared<RequestInFlight>(context_->memory_budget);
-  memory_.resize(reader_.buffer_capacity());  // the body is accounted to the request
-  if (!in_flight->memory.try_resize(kRequestHeadSize + request.body().capacity())) return shed();
+  if (!in_flight->memory.try_resize(kPendingRequestSize + message_memory(request))) return shed();
   if (mode_ == Mode::kRejecting || event.time_left <= 0) return shed();
   request_id_ = event.id;
   remove_hop_by_hop_fields(request);
@@ -344,7 +339,7 @@
 void ClientSession::respond(HttpResponse&& response) {
   if (has_sent_valid_request_) context_->sessions.remove_idle(*this);
   state_ = State::kWriting;
-  memory_.resize(reader_.buffer_capacity() + response.body().size());
+  memory_.resize(message_memory(response));
   if (context_->shutdown.is_closing_sessions() || mode_ == Mode::kRejecting) keep_alive_ = false;
   response_ = std::move(response);
   response_.version(kHttp11);
@@ -360,7 +355,7 @@
   if (context_ == nullptr || state_ != State::kWriting) return;
   if (error) return close(SessionEnd::kWriteFailed);
   response_ = {};
-  memory_.resize(reader_.buffer_capacity());
+  memory_.resize(0);
   // Pipelined requests that are still buffered are abandoned.
   if (reader_.is_peer_closed()) return close(SessionEnd::kClientClosed);
   if (!keep_alive_) return linger();
@@ -376,7 +371,7 @@
 // Closing a socket with unread data would send an RST, and the client might lose the response.
 void ClientSession::linger() {
   state_ = State::kLingering;
-  reader_.discard_buffer();  // a full buffer would prevent further reads
+  reader_.discard_all();  // a full buffer would prevent further reads
   error_code error;
   socket_.shutdown(tcp::socket::shutdown_send, error);
   if (error) return close(SessionEnd::kAnswered);
--- a/node/client_session.h
+++ b/node/client_session.h
@@ -129,7 +129,7 @@
   std::size_t discarded_ = 0;  // bytes received after the last response
   std::string request_id_;
   HttpResponse response_;
-  MemoryBudget::Reservation memory_;  // for the read buffer and the response being written
+  MemoryBudget::Reservation memory_;  // for the response being written
 };
 
 }  // namespace thymewood::node
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -50,7 +50,7 @@
   } catch (const std::exception& error) {
     return report_startup_error(error);
   }
-  message_budget.set_limit(node::message_memory(config.memory_bytes));
+  message_budget.set_limit(node::message_memory_limit(config.memory_bytes));
   try {
     thymewood::json::validate_settings(config.settings);
     node::LoadBalancerNode balancer(io, clock, std::move(config), std::move(operators.replica_set),
--- a/node/memory_budget.h
+++ b/node/memory_budget.h
@@ -15,6 +15,12 @@
   void set_limit(std::size_t bytes) { limit_ = bytes; }
   [[nodiscard]] std::size_t used() const { return used_; }
 
+  // Which part of the budget a reservation may use.
+  enum class Priority {
+    kNormal,
+    kLow  // leaves a part of the budget to the others
+  };
+
   // The bytes reserved for one message or connection; released on destruction.
   class Reservation {
    public:
@@ -24,8 +30,10 @@
     Reservation& operator=(const Reservation&) = delete;
 
     // Resizes the reservation. Returns false and changes nothing if it would exceed the limit.
-    [[nodiscard]] bool try_resize(std::size_t bytes) {
-      const std::size_t available = budget_.limit_ - std::min(budget_.used_, budget_.limit_);
+    [[nodiscard]] bool try_resize(std::size_t bytes, Priority priority = Priority::kNormal) {
+      const std::size_t limit =
+          priority == Priority::kLow ? budget_.limit_ / kLowPriorityDivisor : budget_.limit_;
+      const std::size_t available = limit - std::min(budget_.used_, limit);
       if (bytes > bytes_ && bytes - bytes_ > available) return false;
       resize(bytes);
       return true;
@@ -44,6 +52,8 @@
   };
 
  private:
+  static constexpr std::size_t kLowPriorityDivisor = 2;
+
   std::size_t limit_ = 0;
   std::size_t used_ = 0;
 };
--- a/node/process_limits.cpp
+++ b/node/process_limits.cpp
@@ -29,6 +29,6 @@
   return limits;
 }
 
-std::size_t message_memory(std::size_t memory_bytes) { return memory_bytes / kMessageMemoryDivisor; }
+std::size_t message_memory_limit(std::size_t memory_bytes) { return memory_bytes / kMessageMemoryDivisor; }
 
 }  // namespace thymewood::node
--- a/node/process_limits.h
+++ b/node/process_limits.h
@@ -17,6 +17,6 @@
 [[nodiscard]] DescriptorLimits divide_descriptors(std::size_t max_descriptors);
 
 // Memory available to HTTP messages, in bytes.
-[[nodiscard]] std::size_t message_memory(std::size_t memory_bytes);
+[[nodiscard]] std::size_t message_memory_limit(std::size_t memory_bytes);
 
 }  // namespace thymewood::node
--- a/node/request_reader.cpp
+++ b/node/request_reader.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kMaxReadAvailable = std::size_t{256} * 1024;  // bytes
 constexpr std::size_t kMaxIdleBuffer = 4096;                        // bytes
+constexpr std::size_t kBufferGrowth = 2;  // factor by which the buffer grows at most beyond the space needed
 
 }  // namespace
 
@@ -29,6 +30,31 @@
 }
 
 RequestReader::Status RequestReader::parse() {
+  const Status status = parse_buffered();
+  if (status == Status::kRejected) discard_request();
+  if (status != Status::kIncomplete || try_reserve(read_ahead_.capacity())) return status;
+  discard_request();
+  return Status::kOutOfMemory;
+}
+
+HttpRequest RequestReader::release() {
+  HttpRequest request = parser_->release();
+  discard_request();
+  return request;
+}
+
+bool RequestReader::try_reserve(std::size_t buffer_capacity) {
+  const std::size_t bytes = buffer_capacity + parser_->message_memory();
+  return memory_.try_resize(
+      bytes, bytes > kMaxUsualMemory ? MemoryBudget::Priority::kLow : MemoryBudget::Priority::kNormal);
+}
+
+void RequestReader::discard_request() {
+  parser_.emplace();
+  memory_.resize(read_ahead_.capacity());
+}
+
+RequestReader::Status RequestReader::parse_buffered() {
   while (read_ahead_.size() > 0) {
     has_begun_ = true;
     error_code error;
@@ -50,6 +76,10 @@
     if (used == 0) break;
   }
   // The discarded bytes belong to this request.
+  if (is_out_of_memory_) {
+    discard_request();
+    return Status::kOutOfMemory;
+  }
   if (has_read_ahead_overflowed_) return reject(http::status::payload_too_large, "too much sent ahead");
   return Status::kIncomplete;
 }
@@ -106,17 +136,24 @@
   const std::size_t buffered = std::min(available, size);
   if (buffered < size) has_read_ahead_overflowed_ = true;
   if (buffered == 0) return;
+  const std::size_t needed = read_ahead_.size() + buffered;
+  if (needed > read_ahead_.capacity() && !try_reserve(std::min(kBufferGrowth * needed, kMaxReadAhead))) {
+    has_read_ahead_overflowed_ = is_out_of_memory_ = true;
+    return;
+  }
   std::copy_n(bytes, buffered, static_cast<char*>(read_ahead_.prepare(buffered).data()));
   read_ahead_.commit(buffered);
 }
 
 void RequestReader::shrink_buffer() {
   if (read_ahead_.capacity() > kMaxIdleBuffer) read_ahead_.shrink_to_fit();
+  memory_.resize(read_ahead_.capacity());
 }
 
-void RequestReader::discard_buffer() {
+void RequestReader::discard_all() {
   read_ahead_.clear();
   read_ahead_.shrink_to_fit();
+  discard_request();
 }
 
 }  // namespace thymewood::node
--- a/node/upstream_attempt.cpp
+++ b/node/upstream_attempt.cpp
@@ -214,7 +214,7 @@
     return finish(is_connection_error(error) ? Outcome::kReset : Outcome::kUnknown, ConnectionReuse::kClose);
   }
   const std::size_t body_size = parser_->get().body().size();
-  const std::size_t buffered = connection_->buffer.capacity() + parser_->get().body().capacity();
+  const std::size_t buffered = connection_->buffer.capacity() + parser_->message_memory();
   if (body_size > kResponseBodyLimit || !memory_.try_resize(buffered)) {
     return finish(Outcome::kUnknown, ConnectionReuse::kClose);
   }
--- a/node/upstream_attempt.h
+++ b/node/upstream_attempt.h
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "memory_budget.h"
 #include "message.h"
+#include "message_memory.h"
 #include "thymewood/balancer.h"
 #include "upstream_context.h"
 
@@ -107,7 +108,7 @@
   Clock::Steady::time_point write_started_at_;
   std::optional<double> connection_idle_time_;  // s; null for a new connection
 
-  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+  std::optional<MeasuringParser<false>> parser_;
   int interim_responses_ = 0;
   MemoryBudget::Reservation memory_;  // for the serialized request, then for the response
 };
