Keep drains after an outage of discovery: calls in time, no lease from answers alone

Cause: two grounds of trust. WatchBackoff repeated a call that had waited 4 to 12 s after it was made, so the next one could come 9 s after discovery was back.

Change: the lease runs from when the list was current or from the end of an unanswered call, and in the latter case only for servers that have answered since; requests to unconfirmed servers end with it as well. Calls that are silent count as unanswered. Calls follow each other within 6.7 s; each replica chooses its time within the interval once and keeps it, so that discovery gets them evenly. Part of the grace period counts in the lease.

Tests: the bounds of WatchBackoff.LetsAllNodesRecoverAfterSimultaneousCalls stand and one is added: all nodes within 7 s where discovery needs up to 4 s for one call of each. SpacesQueuedCallsByTheMeanCallInterval asked for a mean of 8 s between calls, which breaks the rule; in its place stand the longest interval and an even spread.

--- a/bench/discovery/main.cpp
+++ b/bench/discovery/main.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kSeeds = 20;
 constexpr double kPollInterval = 10;  // s
+constexpr double kLease = 6.35;       // s; on a list after a call that was not answered
 
 // The exponential backoff in use before the incident: from half a second up to half of the time for which an
 // endpoint list may be used.
@@ -62,7 +63,7 @@
           plan.restarted_part = 0.1;
           print_row(plan, "0.5 to 5 s", [] { return bench::BackoffPolicy(ExponentialBackoff{}); });
           print_row(plan, "WatchRetry", [] {
-            const auto retry = std::make_shared<thymewood::WatchBackoff>(kPollInterval);
+            const auto retry = std::make_shared<thymewood::WatchBackoff>(kPollInterval, kLease);
             return bench::BackoffPolicy(
                 [retry](const auto& failure, auto& random) { return retry->next_delay(failure, random); });
           });
--- a/include/thymewood/events.h
+++ b/include/thymewood/events.h
@@ -91,10 +91,11 @@
 // Settings::endpoint_lease is infinite.
 struct EndpointListFreshness {
   enum class State {
-    kCurrent,        // a watch is open and all of its updates have been delivered
-    kStale,          // no watch is open, or the watch has gone silent
-    kDiscoveryMoved  // discovery has moved to another address: changes it already had count as notified
-                     // sooner
+    kCurrent,         // a watch is open and all of its updates have been delivered
+    kStale,           // no watch is open, or the watch has gone silent
+    kCallUnanswered,  // a call that is repeated at once was not answered; see also EndpointUpdate::failure
+    kDiscoveryMoved   // discovery has moved to another address: changes it already had count as notified
+                      // sooner
   };
   State state = State::kCurrent;
   double current_until = 0;  // with kStale: the time until which the list was current
--- a/include/thymewood/settings.h
+++ b/include/thymewood/settings.h
@@ -52,9 +52,11 @@
 
   bool uses_watch = false;   // endpoint changes arrive only after a WatchEndpoints action
   double poll_interval = 0;  // without a watch, this replica counts as notified of a change after this time
-  // How long an endpoint may be used after its last confirmation while the list is stale (see
-  // EndpointListFreshness). Infinite: the list needs no confirmation.
+  // How long the endpoints of a stale list may be used after it was last current (see EndpointListFreshness).
+  // Infinite: the list needs no confirmation.
   double endpoint_lease = std::numeric_limits<double>::infinity();
+  // The same after discovery was last unavailable, and after the last request that an endpoint answered.
+  double endpoint_outage_lease = std::numeric_limits<double>::infinity();
 
   double slow_start_min_capacity = 1;  // fraction of its capacity that a server has when it starts
   double slow_start_window = 0;        // time that a server takes from there to its full capacity
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -25,7 +25,11 @@
 constexpr std::size_t kMaxPeers = 60000;         // a node id has 16 bits
 constexpr double kMaxNotificationDelay = 6;  // s; a change at discovery counts as notified after this time
 constexpr double kMaxSchedulingDelay = 0.2;  // s; for a process that is waiting for CPU time
-constexpr double kMinEndpointLease = 0.25;   // s
+// A list may be used for so many poll intervals after a call that failed.
+constexpr double kFailedCallFactor = 4;
+constexpr double kDefaultDrainGracePeriod = 1;  // s
+constexpr double kMaxUsedGracePeriod = 1;       // s
+constexpr double kMinEndpointLease = 0.25;      // s
 
 rapidjson::Document parse_file(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -98,20 +102,33 @@
   return zones;
 }
 
+// Seconds from the notification of a drain until the last byte that the server may still get.
+double read_drain_grace_period(const json::Value& settings) {
+  const json::Value* const rules = json::find_field(settings, "rules");
+  if (rules == nullptr) return kDefaultDrainGracePeriod;
+  return std::max(0.0, json::number_or(*rules, "drainGrace", kDefaultDrainGracePeriod));
+}
+
 // A change at discovery counts as notified after the poll interval if that is shorter than the maximum
-// notification delay. The lease is reduced further by the longest time that can pass between selecting an
-// endpoint and sending it the first byte.
-double endpoint_lease_of(const Settings& settings, double connect_timeout) {
-  const double notification_delay = settings.uses_watch && settings.poll_interval > 0
-                                        ? std::min(kMaxNotificationDelay, settings.poll_interval)
-                                        : kMaxNotificationDelay;
-  return std::max(kMinEndpointLease, notification_delay - connect_timeout - kMaxSchedulingDelay);
+// notification delay, and a draining server may get requests for the grace period after that. The lease is
+// reduced by the longest time that can pass between selecting an endpoint and sending it the first byte, and
+// the grace period by the delay with which the end of the watch may be noticed.
+double endpoint_lease(double poll_interval, double grace_period, double connect_timeout) {
+  const double notification_delay =
+      poll_interval > 0 ? std::min(kMaxNotificationDelay, poll_interval) : kMaxNotificationDelay;
+  const double used_grace_period =
+      std::max(0.0, std::min(kMaxUsedGracePeriod, grace_period) - kMaxSchedulingDelay);
+  return std::max(kMinEndpointLease,
+                  notification_delay + used_grace_period - connect_timeout - kMaxSchedulingDelay);
 }
 
-void read_bounds(const json::Value& bounds, Config& config) {
+void read_bounds(const json::Value& bounds, double drain_grace_period, Config& config) {
   config.connect_timeout = read_timeout(bounds, "dialTimeout", kDefaultConnectTimeout);
   config.server_idle_timeout = read_timeout(bounds, "idleClose", kDefaultServerIdleTimeout);
-  config.settings.endpoint_lease = endpoint_lease_of(config.settings, config.connect_timeout);
+  const double poll_interval = config.settings.uses_watch ? config.settings.poll_interval : 0;
+  config.settings.endpoint_lease = endpoint_lease(poll_interval, drain_grace_period, config.connect_timeout);
+  config.settings.endpoint_outage_lease =
+      endpoint_lease(kFailedCallFactor * poll_interval, drain_grace_period, config.connect_timeout);
   const int max_pending = json::integer_or(bounds, "maxOpen", kDefaultMaxPendingRequests);
   if (max_pending < 1) json::throw_invalid_field("maxOpen", "at least 1");
   config.max_pending_requests = static_cast<std::size_t>(max_pending);
@@ -124,7 +141,7 @@
   if (json::find_field(settings, "realms") != nullptr)
     config.tenant_names = read_names(json::array(settings, "realms"));
   config.zones = read_zones(settings);
-  read_bounds(json::required_field(settings, "bounds"), config);
+  read_bounds(json::required_field(settings, "bounds"), read_drain_grace_period(settings), config);
 }
 
 // Messages between replicas require the platform's permission, a listen address and the addresses of the
--- a/node/discovery_connection.cpp
+++ b/node/discovery_connection.cpp
@@ -107,7 +107,8 @@
     if (error) event.with("error", error.message());
   }
   WatchFailure failure;
-  failure.had_responded = has_response_;
+  // A response that stays silent after its header delivers nothing.
+  failure.had_responded = has_data_ || (has_response_ && reason != WatchEndReason::kSilent);
   // A connection that was never established has not waited in discovery's queue.
   if (is_request_sent_ && !has_response_) failure.wait_time = seconds_since(request_sent_at_);
   owner->on_ended(*this, {reason, error, failure, last_received_at_});
@@ -203,6 +204,7 @@
   std::string& body = parser_.get().body();
   if (body.empty()) return;
   const std::string bytes = std::exchange(body, {});
+  has_data_ = true;
   owner_->on_data_received(last_received_at_);
   last_received_at_ = clock_.now();
   // Blank lines after an incomplete object do not extend the silence timeout: the object will not be
--- a/node/discovery_connection.h
+++ b/node/discovery_connection.h
@@ -107,6 +107,7 @@
   double last_received_at_ = 0;                // s on the node's clock
   bool is_request_sent_ = false;               // the write of the request has completed
   bool has_response_ = false;                  // with status 200
+  bool has_data_ = false;                      // part of the body has been received
   bool is_reading_ = false;                    // prevents a recursive read from on_object
 };
 
--- a/node/discovery_watch.cpp
+++ b/node/discovery_watch.cpp
@@ -137,8 +137,10 @@
   if (clock_.now() - connection_opened_at_ >= kStableConnectionAge) consecutive_silent_connections_ = 0;
   // Reconnects without a backoff: the silence timeout has already passed, and replicas detect the silence at
   // different times anyway.
-  if (end.reason == WatchEndReason::kSilent && consecutive_silent_connections_++ < kMaxEarlyReplacements)
+  if (end.reason == WatchEndReason::kSilent && consecutive_silent_connections_++ < kMaxEarlyReplacements) {
+    if (!end.failure.had_responded) listener_->on_call_unanswered();
     return open();
+  }
   listener_->on_watch_failed(end.failure);
 }
 
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -180,6 +180,10 @@
   post_event(EndpointListFreshness{EndpointListFreshness::State::kStale, as_of});
 }
 
+void Dispatcher::on_call_unanswered() {
+  post_event(EndpointListFreshness{EndpointListFreshness::State::kCallUnanswered});
+}
+
 void Dispatcher::on_discovery_moved() {
   post_event(EndpointListFreshness{EndpointListFreshness::State::kDiscoveryMoved});
 }
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -57,6 +57,7 @@
   void on_endpoints(const EndpointList& update) override;
   void on_list_current() override;
   void on_list_stale(double as_of) override;
+  void on_call_unanswered() override;
   void on_discovery_moved() override;
   void on_watch_failed(const WatchFailure& failure) override;
 
--- a/node/endpoint_watch.h
+++ b/node/endpoint_watch.h
@@ -35,6 +35,8 @@
   virtual void on_list_current() = 0;
   // The list is no longer current; it was until `as_of`, in seconds on the node's clock.
   virtual void on_list_stale(double as_of) = 0;
+  // A call was not answered and is repeated at once.
+  virtual void on_call_unanswered() = 0;
   // Discovery has moved to another address.
   virtual void on_discovery_moved() = 0;
   // The watch has failed. It is not reopened until EndpointWatch::watch() is called.
--- a/policy/balancer.cpp
+++ b/policy/balancer.cpp
@@ -64,8 +64,8 @@
         limit_(settings_.classes),
         subset_(settings_),
         slow_start_(settings_.slow_start_min_capacity, settings_.slow_start_window),
-        lease_(settings_.endpoint_lease),
-        watch_backoff_(settings_.poll_interval) {
+        lease_(settings_.endpoint_lease, settings_.endpoint_outage_lease),
+        watch_backoff_(settings_.poll_interval, settings_.endpoint_outage_lease) {
     for (const Tenant& tenant : settings_.tenants) tenants_.emplace_back(tenant, settings_);
   }
 
@@ -99,15 +99,19 @@
 
   void on(const EndpointUpdate& update) {
     if (update.form == EndpointUpdate::Form::kFailed) {
-      if (settings_.uses_watch)
-        emit(SetTimer{now_ + watch_backoff_.next_delay(update.failure, random_), kWatchTimer});
-      return;
+      return on_watch_failed(update.failure);
     }
     watch_backoff_.reset();
     servers_.apply(now_, update, random_);
     rebuild_subset();
   }
 
+  void on_watch_failed(const std::optional<WatchFailure>& failure) {
+    const double delay = watch_backoff_.next_delay(failure, random_);
+    if (settings_.uses_watch) emit(SetTimer{now_ + delay, kWatchTimer});
+    if (!failure || !failure->had_responded) lease_.on_call_unanswered(now_);
+  }
+
   void on(const EndpointListFreshness& freshness) {
     switch (freshness.state) {
       case EndpointListFreshness::State::kCurrent:
@@ -115,6 +119,8 @@
         return lease_.mark_list_current();
       case EndpointListFreshness::State::kStale:
         return lease_.mark_list_stale(freshness.current_until);
+      case EndpointListFreshness::State::kCallUnanswered:
+        return lease_.on_call_unanswered(now_);
       case EndpointListFreshness::State::kDiscoveryMoved:
         watch_backoff_.reset();
         return lease_.on_discovery_moved(now_, kDiscoveryMoveLeaseReduction);
--- a/policy/endpoint_lease.h
+++ b/policy/endpoint_lease.h
@@ -3,11 +3,11 @@
 // While a watch is open, every endpoint that it does not report is unchanged. Without a watch, a server may
 // start draining or be removed without this replica being notified. A replica counts as notified of a change
 // a fixed time after discovery learned of it, whether or not the change arrived. That time does not run while
-// discovery is down, but a replica cannot tell a discovery that is down from one that is too busy to answer.
-// It does know that a server which accepts new requests is not draining. The lease of a server therefore
-// starts when the list was last current, or when the last request that the server answered was sent,
-// whichever is later: a replica counts as notified of any change after that time no sooner than the lease
-// ends.
+// discovery is unavailable. The list is therefore trusted for the duration of the lease from when it was last
+// current, or from when discovery was last unavailable: the end of a call that it did not answer.
+//
+// An unanswered call does not show that a server is still ready, so a server must also have answered a
+// request within that time. An answer alone confirms nothing: a server that drains may continue to answer.
 //
 // No clock or I/O: times are parameters, in seconds on the host's clock.
 #pragma once
@@ -19,8 +19,10 @@
 
 class EndpointLease {
  public:
-  // `duration`: s; infinite if the list needs no confirmation.
-  explicit EndpointLease(double duration) : duration_(duration) {}
+  // `duration`: s; infinite if the list needs no confirmation. `outage_duration`: s; the same from the last
+  // moment at which discovery was unavailable.
+  EndpointLease(double duration, double outage_duration)
+      : duration_(duration), outage_duration_(outage_duration) {}
 
   // A watch is open and all of its updates have been delivered.
   void mark_list_current() {
@@ -32,6 +34,10 @@
     list_is_current_ = false;
     as_of_ = std::max(as_of_, as_of);
   }
+  // A call to discovery was not answered, so discovery may have been unavailable until `unavailable_until`.
+  void on_call_unanswered(double unavailable_until) {
+    unavailable_until_ = std::max(unavailable_until_, unavailable_until);
+  }
   // Discovery has moved to another address: replicas count as notified of the changes that it already had
   // `lease_reduction` s sooner than of later ones.
   void on_discovery_moved(double now, double lease_reduction) {
@@ -41,22 +47,31 @@
 
   bool is_current() const { return list_is_current_ || duration_ == kForever; }
 
+  // Whether any server may be used: a drain or removal that has not been received does not count as notified.
+  bool is_list_trusted(double now) const {
+    return is_current() || now < end_from(as_of_, duration_) ||
+           now < end_from(unavailable_until_, outage_duration_);
+  }
+
   // Whether a server may be used whose last accepted request was sent at `accepted_at`.
   bool is_valid(double now, double accepted_at) const {
-    if (is_current()) return true;
-    const double confirmed_at = std::max(as_of_, accepted_at);
-    double end = confirmed_at + duration_;
-    if (confirmed_at < moved_at_) end = std::min(end, moved_at_ + duration_ - lease_reduction_);
-    return now < end;
+    if (is_current() || now < end_from(as_of_, duration_)) return true;
+    return now < end_from(std::min(unavailable_until_, accepted_at), outage_duration_);
   }
 
  private:
   static constexpr double kForever = std::numeric_limits<double>::infinity();
   static constexpr double kNever = -kForever;
 
-  double duration_;
+  double end_from(double confirmed_at, double duration) const {
+    const double end = confirmed_at + duration;
+    return confirmed_at < moved_at_ ? std::min(end, moved_at_ + duration - lease_reduction_) : end;
+  }
+
+  double duration_, outage_duration_;
   bool list_is_current_ = false;
   double as_of_ = kNever;
+  double unavailable_until_ = kNever;
   double moved_at_ = kNever;
   double lease_reduction_ = 0;
 };
--- a/policy/server_selector.cpp
+++ b/policy/server_selector.cpp
@@ -15,8 +15,8 @@
 constexpr double kMaxFailureAverage = 0.99;
 constexpr double kCrossZoneWeight = 50;  // a cost of 0.01 raises the load score by half
 
-// Minimum time between two requests to unconfirmed servers, in seconds. Each of them may reach a draining
-// server. Without any, a replica that has been idle could not serve requests until discovery is available
+// Minimum time between two requests to unconfirmed servers, in seconds. Each of them may reach a server that
+// has gone. Without any, a replica that has been idle could not serve requests until discovery is available
 // again.
 constexpr double kUnconfirmedInterval = 0.25;
 
@@ -114,7 +114,8 @@
 // If no confirmed server is usable, selects unconfirmed servers at a limited rate and in turn, starting with
 // the one that has most recently accepted a request.
 std::optional<std::size_t> ServerSelector::select_unconfirmed(double now, const PendingRequest& request) {
-  if (inputs_.lease.is_current() || now < next_unconfirmed_at_) return std::nullopt;
+  if (inputs_.lease.is_current() || !inputs_.lease.is_list_trusted(now)) return std::nullopt;
+  if (now < next_unconfirmed_at_) return std::nullopt;
   const auto selection_order = [this](std::size_t index) {
     return std::pair(servers_[index].last_unconfirmed_use_at, -servers_[index].last_answered_sent_at);
   };
--- a/policy/watch_backoff.h
+++ b/policy/watch_backoff.h
@@ -1,18 +1,19 @@
 // Backoff between calls to discovery that fail to open a watch.
 //
-// Discovery is shared by all replicas and processes their calls in sequence. It rejects a call that has
-// waited too long, and the work already done for that call is wasted. If calls arrive faster than discovery
-// can process them, all are rejected in the end and none succeeds until the replicas call less often.
-// Replicas lose their watches at the same time, so the call rate must be sustainable for all of them
-// together: one call of each replica may keep discovery busy for kMeanCallInterval. A call that waited before
-// it failed was either in such a queue or sent to a discovery that is down, and a replica cannot distinguish
-// the two. A call that failed immediately cost almost nothing and is retried soon.
+// A replica that does not get the list in time has to stop using its servers, since they may drain without
+// its notice: calls follow each other sooner than the lease on the list ends. On the other hand, discovery is
+// shared by all replicas and processes their calls in sequence. It rejects a call that has waited too long,
+// and the work already done for that call is wasted. If calls arrive together, most of them are rejected.
+// Replicas lose their watches at the same time, so the first call that waited in vain is followed by a random
+// delay of up to one interval, and the next ones by nearly constant intervals: the calls of all replicas stay
+// spread evenly over the interval. A call that failed immediately cost almost nothing and is retried soon.
 //
 // No clock or I/O: durations are parameters, in seconds.
 #pragma once
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "random.h"
 #include "thymewood/balancer.h"
@@ -21,13 +22,17 @@
 
 class WatchBackoff {
  public:
-  // `poll_interval`: s; how long a list may be used without a poll. 0: not configured.
-  explicit WatchBackoff(double poll_interval) : poll_interval_(poll_interval) {}
+  // `poll_interval`: s; how long a list may be used without a poll. 0: not configured. `lease`: s; how long
+  // it may be used after a call that was not answered.
+  WatchBackoff(double poll_interval, double lease)
+      : poll_interval_(poll_interval), max_call_interval_(std::min(kMaxCallInterval, lease)) {}
 
   // Discards earlier failures: a watch is open, or discovery has moved to another address.
   void reset() {
     backoff_ = kInitialBackoff;
     immediate_failures_ = 0;
+    is_spread_ = false;
+    next_interval_ = 0;
   }
 
   // s; delay before the next call.
@@ -36,20 +41,18 @@
     if (failure->had_responded)
       return random.unit() *
              std::min(kMaxReopenDelay, poll_interval_ > 0 ? poll_interval_ / 4 : kMaxReopenDelay);
-    if (failure->wait_time >= kMinQueuedWait) {
-      const double interval =
-          kMeanCallInterval * (kMinIntervalFraction + random.unit() * (2 - 2 * kMinIntervalFraction));
-      return std::max(kInitialDelay, interval - failure->wait_time);
-    }
-    return delay_after_immediate_failure(random);
+    if (failure->wait_time < kMinQueuedWait) return delay_after_immediate_failure(random);
+    return delay_after_queued_failure(failure->wait_time, random);
   }
 
  private:
-  // s; mean time between two calls of a replica. Discovery may need as long for one call of each replica.
-  static constexpr double kMeanCallInterval = 8;
-  // Shortest interval, as a fraction of the mean. The distribution is symmetric about the mean.
-  static constexpr double kMinIntervalFraction = 0.5;
-  static constexpr double kMinQueuedWait = 0.4;  // s; a call that failed sooner did not wait in a queue
+  // s; longest time between two calls of a replica. A change counts as notified 6 s after discovery could be
+  // reached, and the drain that it may report ends within 1 s from then.
+  static constexpr double kMaxCallInterval = 6.4;
+  static constexpr double kIntervalJitterFraction = 0.03;
+  static constexpr double kMaxIntervalExcess = 0.3;  // s; of the first interval over the others
+  static constexpr double kMinSpreadDelay = 1;       // s
+  static constexpr double kMinQueuedWait = 0.4;      // s; a call that failed sooner did not wait in a queue
   // s; replicas whose watches end together spread their calls over this time.
   static constexpr double kMaxReopenDelay = 2;
   static constexpr double kInitialDelay = 0.3;  // s; doubled after each immediate failure
@@ -64,6 +67,25 @@
   // again together.
   static double jittered(double delay, Random& random) { return delay * (0.5 + random.unit() / 2); }
 
+  double delay_after_queued_failure(double wait_time, Random& random) {
+    if (!std::exchange(is_spread_, true)) return spread_delay(wait_time, random);
+    double interval = std::exchange(next_interval_, 0);
+    if (interval == 0) interval = max_call_interval_ * (1 - random.unit() * kIntervalJitterFraction);
+    return std::max(kInitialDelay, interval - wait_time);
+  }
+
+  // Chooses this replica's time within the interval. If that is too late for the call that has just failed,
+  // one more call is made before it.
+  double spread_delay(double wait_time, Random& random) {
+    const double delay =
+        kMinSpreadDelay + random.unit() * std::max(0.0, max_call_interval_ - kMinSpreadDelay);
+    const double latest = std::max(0.0, max_call_interval_ + kMaxIntervalExcess - wait_time);
+    if (delay <= latest) return delay;
+    const double early_delay = kInitialDelay + delay - latest;
+    next_interval_ = delay - early_delay;
+    return early_delay;
+  }
+
   double delay_after_immediate_failure(Random& random) {
     const int failures = immediate_failures_++;
     if (failures >= kEarlyFailures) return jittered(kMaxLateDelay, random);
@@ -78,8 +100,11 @@
   }
 
   double poll_interval_;
+  double max_call_interval_;  // s
   double backoff_ = kInitialBackoff;
   int immediate_failures_ = 0;
+  bool is_spread_ = false;    // this replica has chosen its time within the interval
+  double next_interval_ = 0;  // s; 0 unless the next interval is shorter than the others
 };
 
 }  // namespace thymewood
--- a/tests/node/stale_endpoints_test.cpp
+++ b/tests/node/stale_endpoints_test.cpp
@@ -80,6 +80,118 @@
   EXPECT_GT(served, requests * 9 / 10) << "the ready server must stay in use; requests sent: " << requests;
 }
 
+// Discovery that is down for a while. Calls wait until they fail; once it is available again, each call gets
+// the current list at once, and watches get each new one.
+class UnavailableDiscovery {
+ public:
+  // How calls fail: with a reset when discovery is available again, or with a 503 after `kMaxCallWait`.
+  enum class CallFailure { kReset, kRejection };
+  UnavailableDiscovery(CallFailure failure, std::string list)
+      : failure_(failure), list_(std::move(list)), script_([this](RawConnection& connection, int) {
+          if (is_down_) return fail(connection);
+          serve_watch(connection);
+        }) {}
+  ~UnavailableDiscovery() { is_stopping_ = true; }
+  void set_down(bool is_down) { is_down_ = is_down; }
+  void set_list(const std::string& list) {
+    const std::lock_guard lock(mutex_);
+    list_ = list;
+  }
+  ScriptedDiscovery& script() { return script_; }
+
+ private:
+  static constexpr auto kMaxCallWait = 2s;
+  void fail(RawConnection& connection) {
+    const auto called_at = SteadyClock::now();
+    const bool is_rejected = failure_ == CallFailure::kRejection;
+    while (!is_stopping_ && (is_rejected ? SteadyClock::now() < called_at + kMaxCallWait : is_down_.load()))
+      std::this_thread::sleep_for(5ms);
+    if (is_rejected) {
+      connection.write(http_response(503, ""));
+    } else {
+      connection.reset();
+    }
+  }
+  void serve_watch(RawConnection& connection) {
+    std::string sent;
+    connection.write(kWatchResponseHead);
+    while (!is_down_ && !is_stopping_) {
+      const std::string list = current_list();
+      if (!connection.write(http_chunk((list == sent ? "" : list) + "\n"))) return;
+      sent = list;
+      std::this_thread::sleep_for(50ms);
+    }
+    connection.reset();
+  }
+  std::string current_list() {
+    const std::lock_guard lock(mutex_);
+    return list_;
+  }
+
+  CallFailure failure_;
+  std::mutex mutex_;
+  std::string list_;
+  std::atomic<bool> is_down_ = false, is_stopping_ = false;
+  ScriptedDiscovery script_;
+};
+
+// A server begins to drain right after an outage of discovery and continues to answer.
+void expect_drain_is_kept_after_an_outage(UnavailableDiscovery::CallFailure failure) {
+  constexpr int kNodes = 8;
+  constexpr auto kOutage = 3s;
+  FakeServer draining_server(respond_with(200, "ok")), ready_server(respond_with(200, "ok"));
+  const std::string ready = endpoint_json("s1", ready_server.address());
+  const std::string both =
+      endpoint_list_json(7, true, endpoint_json("s0", draining_server.address()) + "," + ready);
+  UnavailableDiscovery discovery(failure, both);
+  std::vector<std::unique_ptr<NodeProcess>> nodes;
+  for (int i = 0; i < kNodes; ++i) {
+    NodeConfig config;
+    config.known = both;
+    config.discovery = discovery.script().address();
+    config.rules = R"("askWithin":10.0,"drainGrace":1.0)";
+    config.seed = std::to_string(i + 1);
+    nodes.push_back(std::make_unique<NodeProcess>(config.text()));
+  }
+  int requests = 0;
+  std::map<int, int> statuses;
+  std::size_t at_draining_server = 0;
+  auto last_request_at = SteadyClock::now();
+  const auto send_until = [&](SteadyClock::time_point end) {
+    for (std::size_t i = 0; SteadyClock::now() < end; ++i) {
+      const std::string id = "r" + std::to_string(++requests);
+      ++statuses[status_of_request(nodes[i % nodes.size()]->port(), id)];
+      const std::size_t count = draining_server.requests().size();
+      if (std::exchange(at_draining_server, count) != count) last_request_at = SteadyClock::now();
+      std::this_thread::sleep_for(5ms);
+    }
+  };
+  send_until(SteadyClock::now() + 1s);
+  ASSERT_GT(at_draining_server, 0U);
+  discovery.set_down(true);
+  send_until(SteadyClock::now() + kOutage);
+  discovery.set_down(false);
+  send_until(SteadyClock::now() + 200ms);
+  discovery.set_list(endpoint_list_json(8, true, ready));
+  const auto drain_start = SteadyClock::now();
+  send_until(drain_start + 11s);
+  EXPECT_LT(seconds_between(drain_start, last_request_at),
+            kMaxNotificationDelay + kDrainGracePeriod + kTolerance);
+  EXPECT_GT(statuses[200], requests * 99 / 100) << "the other server stays in use";
+}
+
+// Guards against requests to draining servers that answer, for seconds after the notification: nodes called
+// discovery up to 12 s after a failed call, and took each answer of a server as a sign that it does not
+// drain.
+TEST(StaleEndpointList, DrainAfterAnOutageIsKeptIfCallsWereReset) {
+  expect_drain_is_kept_after_an_outage(UnavailableDiscovery::CallFailure::kReset);
+}
+
+// The same if discovery, or a proxy before it, rejects the calls after a time.
+TEST(StaleEndpointList, DrainAfterAnOutageIsKeptIfCallsWereRejected) {
+  expect_drain_is_kept_after_an_outage(UnavailableDiscovery::CallFailure::kRejection);
+}
+
 // Discovery needs 6 s to serve one request from each node. It is down for 5 s, and a third of the nodes
 // restart while it is still serving the others.
 TEST(StaleEndpointList, ReplicasGetTheirListsFromAnOverloadedDiscovery) {
--- a/tests/policy/watch_backoff_test.cpp
+++ b/tests/policy/watch_backoff_test.cpp
@@ -4,32 +4,59 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
+#include <vector>
 
 #include "reconnect_herd.h"
 
 namespace thymewood {
 namespace {
 
-TEST(WatchBackoff, SpacesQueuedCallsByTheMeanCallInterval) {
-  WatchBackoff backoff(10);
-  Random random(1);
-  double sum = 0, min_delay = 100, max_delay = 0;
-  for (int i = 0; i < 1000; ++i) {
-    const double delay = backoff.next_delay(WatchFailure{false, 2}, random);
-    sum += delay;
-    min_delay = std::min(min_delay, delay);
-    max_delay = std::max(max_delay, delay);
+constexpr double kPollInterval = 10;  // s
+constexpr double kLease = 6.35;       // s
+constexpr double kWait = 2;           // s; how long a call waits before it fails
+
+// A change counts as notified 6 s after discovery could be reached; a drain that the next call reports must
+// have arrived within 1 s from then.
+constexpr double kMaxNotificationDelay = 6, kDrainGracePeriod = 1;  // s
+
+// Guards against drains that go unnoticed after an outage: calls that had waited were repeated up to 12 s
+// later. Discovery may have become available right after such a call was made.
+TEST(WatchBackoff, CallsAgainBeforeADrainHasToBeKnown) {
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    for (const double wait : {0.5, 2.0, 3.0}) {
+      Random random(seed);
+      WatchBackoff backoff(kPollInterval, kLease);
+      for (int call = 0; call < 20; ++call) {
+        const double delay = backoff.next_delay(WatchFailure{false, wait}, random);
+        EXPECT_LT(wait + delay, kMaxNotificationDelay + kDrainGracePeriod - 0.2) << call;
+        EXPECT_LT(delay, kLease) << "the list is used until the next call";
+      }
+    }
+  }
+}
+
+// The times of the calls, counted from the failure of the first, once each replica has chosen its own.
+TEST(WatchBackoff, SpreadsQueuedCallsOverTheIntervalAndKeepsThemApart) {
+  std::vector<double> call_times;
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    Random random(seed);
+    WatchBackoff backoff(kPollInterval, kLease);
+    double time = 0, delay = 0;
+    for (int call = 0; call < 5; ++call)
+      time += delay = kWait + backoff.next_delay(WatchFailure{false, kWait}, random);
+    EXPECT_GT(delay, 0.95 * kLease);
+    call_times.push_back(std::fmod(time, kLease));
   }
-  EXPECT_NEAR(sum / 1000 + 2, 8, 0.3)
-      << "the mean call interval is the time that discovery may need for one call of each replica";
-  EXPECT_LT(min_delay, 2.2);
-  EXPECT_LT(max_delay, 10);
+  std::sort(call_times.begin(), call_times.end());
+  for (std::size_t i = 250; i < call_times.size(); i += 250)
+    EXPECT_GT(call_times[i] - call_times[i - 250], kLease / 8);
 }
 
 TEST(WatchBackoff, RetriesImmediateFailuresBeforeChangesCountAsNotified) {
   for (std::uint64_t seed = 1; seed < 100; ++seed) {
-    WatchBackoff backoff(10);
+    WatchBackoff backoff(kPollInterval, kLease);
     Random random(seed);
     double time_after_move = 0;
     for (int i = 0; i < 5; ++i) time_after_move += backoff.next_delay(WatchFailure{false, 0.01}, random);
@@ -43,7 +70,7 @@
 
 TEST(WatchBackoff, SpreadsWatchesThatEndTogether) {
   Random random(1);
-  WatchBackoff long_interval(10), short_interval(1);
+  WatchBackoff long_interval(kPollInterval, kLease), short_interval(1, kLease);
   double max_delay = 0, max_delay_short_interval = 0;
   for (int i = 0; i < 200; ++i) {
     max_delay = std::max(max_delay, long_interval.next_delay(WatchFailure{true, 0}, random));
@@ -56,7 +83,7 @@
 }
 
 // All nodes get a list again, even if discovery needs 8 s for one call of each and the work on rejected calls
-// is lost.
+// is lost. Where it needs up to 4 s, each node gets it before a drain has to be known.
 TEST(WatchBackoff, LetsAllNodesRecoverAfterSimultaneousCalls) {
   for (const int nodes : {50, 300, 900}) {
     for (const double work_of_all : {0.5, 4.0, 8.0}) {
@@ -68,7 +95,7 @@
         const auto result = bench::simulate_herd(
             plan,
             [] {
-              const auto backoff = std::make_shared<WatchBackoff>(10);
+              const auto backoff = std::make_shared<WatchBackoff>(kPollInterval, kLease);
               return bench::BackoffPolicy(
                   [backoff](const auto& failure, auto& rng) { return backoff->next_delay(failure, rng); });
             },
@@ -76,6 +103,10 @@
         EXPECT_LT(result.last(), 30) << nodes << " nodes, " << work_of_all
                                      << " s of work for one call of each, seed " << seed;
         EXPECT_GT(result.share_within(6), 0.5);
+        if (work_of_all <= 4) {
+          EXPECT_EQ(result.share_within(kMaxNotificationDelay + kDrainGracePeriod), 1)
+              << nodes << " nodes, " << work_of_all << " s of work, seed " << seed;
+        }
       }
     }
   }
