Count a call to discovery as unanswered while it waits, not only when it has ended

Cause: the lease on a list ends 5.74 s after the last data there, and the first call after a silent watch counted as unanswered when it was closed, 6.0 s after it. Answers of servers had bridged that time; they no longer do.

Change: a call counts as unanswered after 1 s without data, and again when it ends.

--- a/include/thymewood/events.h
+++ b/include/thymewood/events.h
@@ -93,7 +93,7 @@
   enum class State {
     kCurrent,         // a watch is open and all of its updates have been delivered
     kStale,           // no watch is open, or the watch has gone silent
-    kCallUnanswered,  // a call that is repeated at once was not answered; see also EndpointUpdate::failure
+    kCallUnanswered,  // a call has had no response so far; see also EndpointUpdate::failure
     kDiscoveryMoved   // discovery has moved to another address: changes it already had count as notified
                       // sooner
   };
--- a/node/discovery_connection.cpp
+++ b/node/discovery_connection.cpp
@@ -16,6 +16,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr double kConnectTimeout = 1.0;  // s
+constexpr double kOverdueWait = 1.0;     // s; an available discovery usually responds sooner
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
 
@@ -76,7 +77,7 @@
 }
 
 void DiscoveryConnection::send_request() {
-  restart_timer(owner_->silence_timeout(false));
+  restart_timer(kOverdueWait);
   http::async_write(socket_, request_, [self = shared_from_this()](error_code error, std::size_t) {
     if (error) return self->end(WatchEndReason::kWriteFailed, error);
     self->request_sent_at_ = Clock::Steady::now();
@@ -126,6 +127,10 @@
   // After the process was paused, the timer handler can run before the data that arrived during the pause is
   // read.
   if (!read_available() || Clock::Steady::now() < timer_.expiry()) return;
+  if (is_request_sent_ && !has_data_ && !std::exchange(is_overdue_, true)) {
+    restart_timer(owner_->silence_timeout(false) - kOverdueWait);
+    return owner_->on_response_overdue();
+  }
   if (objects_.has_incomplete_object()) owner_->on_malformed_list("discovery: incomplete JSON object");
   end(is_request_sent_ ? WatchEndReason::kSilent : WatchEndReason::kConnectTimedOut);
 }
--- a/node/discovery_connection.h
+++ b/node/discovery_connection.h
@@ -55,6 +55,8 @@
 
     // Maximum time without received data, in seconds.
     virtual double silence_timeout(bool has_response) const = 0;
+    // The call has waited for a response so long that discovery may be unavailable.
+    virtual void on_response_overdue() = 0;
     // The header of a response with status 200 was received. `date` is its Date field.
     virtual void on_response_started(std::string_view date) = 0;
     // Part of the body was received. `previous_data_at` is when the previous part was received, in seconds on
@@ -107,6 +109,7 @@
   double last_received_at_ = 0;                // s on the node's clock
   bool is_request_sent_ = false;               // the write of the request has completed
   bool has_response_ = false;                  // with status 200
+  bool is_overdue_ = false;                    // the owner was notified that there is no response yet
   bool has_data_ = false;                      // part of the body has been received
   bool is_reading_ = false;                    // prevents a recursive read from on_object
 };
--- a/node/discovery_watch.cpp
+++ b/node/discovery_watch.cpp
@@ -78,6 +78,8 @@
   return has_response ? kSilenceTimeout : kResponseTimeout;
 }
 
+void DiscoveryWatch::on_response_overdue() { listener_->on_call_unanswered(); }
+
 void DiscoveryWatch::on_response_started(std::string_view date) {
   start_times_.set_discovery_time(clock_.reading(), parse_http_date(date));
 }
--- a/node/discovery_watch.h
+++ b/node/discovery_watch.h
@@ -41,6 +41,7 @@
 
  private:
   double silence_timeout(bool has_response) const override;
+  void on_response_overdue() override;
   void on_response_started(std::string_view date) override;
   void on_data_received(double previous_data_at) override;
   void on_object(DiscoveryConnection& connection, std::string_view object) override;
--- a/node/endpoint_watch.h
+++ b/node/endpoint_watch.h
@@ -35,7 +35,7 @@
   virtual void on_list_current() = 0;
   // The list is no longer current; it was until `as_of`, in seconds on the node's clock.
   virtual void on_list_stale(double as_of) = 0;
-  // A call was not answered and is repeated at once.
+  // A call has had no response so far, or is closed and repeated at once.
   virtual void on_call_unanswered() = 0;
   // Discovery has moved to another address.
   virtual void on_discovery_moved() = 0;
--- a/policy/endpoint_lease.h
+++ b/policy/endpoint_lease.h
@@ -4,7 +4,7 @@
 // start draining or be removed without this replica being notified. A replica counts as notified of a change
 // a fixed time after discovery learned of it, whether or not the change arrived. That time does not run while
 // discovery is unavailable. The list is therefore trusted for the duration of the lease from when it was last
-// current, or from when discovery was last unavailable: the end of a call that it did not answer.
+// current, or from when discovery was last unavailable: a call that it had not answered by then.
 //
 // An unanswered call does not show that a server is still ready, so a server must also have answered a
 // request within that time. An answer alone confirms nothing: a server that drains may continue to answer.
@@ -34,7 +34,7 @@
     list_is_current_ = false;
     as_of_ = std::max(as_of_, as_of);
   }
-  // A call to discovery was not answered, so discovery may have been unavailable until `unavailable_until`.
+  // A call to discovery was not answered: discovery may have been unavailable until `unavailable_until`.
   void on_call_unanswered(double unavailable_until) {
     unavailable_until_ = std::max(unavailable_until_, unavailable_until);
   }
--- a/policy/watch_backoff.h
+++ b/policy/watch_backoff.h
@@ -4,9 +4,10 @@
 // its notice: calls follow each other sooner than the lease on the list ends. On the other hand, discovery is
 // shared by all replicas and processes their calls in sequence. It rejects a call that has waited too long,
 // and the work already done for that call is wasted. If calls arrive together, most of them are rejected.
-// Replicas lose their watches at the same time, so the first call that waited in vain is followed by a random
-// delay of up to one interval, and the next ones by nearly constant intervals: the calls of all replicas stay
-// spread evenly over the interval. A call that failed immediately cost almost nothing and is retried soon.
+// Replicas lose their watches at the same time, so after the first call that waited in vain each one chooses
+// a random time within the next interval, and calls again at that time and at nearly constant intervals from
+// then: the calls of all replicas stay spread evenly. A call that failed immediately cost almost nothing and
+// is retried soon.
 //
 // No clock or I/O: durations are parameters, in seconds.
 #pragma once
--- a/tests/node/stale_endpoints_test.cpp
+++ b/tests/node/stale_endpoints_test.cpp
@@ -84,8 +84,9 @@
 // the current list at once, and watches get each new one.
 class UnavailableDiscovery {
  public:
-  // How calls fail: with a reset when discovery is available again, or with a 503 after `kMaxCallWait`.
-  enum class CallFailure { kReset, kRejection };
+  // How calls fail: with a reset when discovery is available again, with a 503 after `kMaxCallWait`, or not
+  // at all until the node closes the connection.
+  enum class CallFailure { kReset, kRejection, kSilence };
   UnavailableDiscovery(CallFailure failure, std::string list)
       : failure_(failure), list_(std::move(list)), script_([this](RawConnection& connection, int) {
           if (is_down_) return fail(connection);
@@ -102,6 +103,10 @@
  private:
   static constexpr auto kMaxCallWait = 2s;
   void fail(RawConnection& connection) {
+    if (failure_ == CallFailure::kSilence) {
+      connection.read_until_close();
+      return;
+    }
     const auto called_at = SteadyClock::now();
     const bool is_rejected = failure_ == CallFailure::kRejection;
     while (!is_stopping_ && (is_rejected ? SteadyClock::now() < called_at + kMaxCallWait : is_down_.load()))
@@ -262,6 +267,20 @@
   EXPECT_EQ(served, requests);
 }
 
+// The same if calls are accepted and stay silent, until the node closes them and calls again.
+TEST(StaleEndpointList, RespondingServersStayInUseWhileCallsAreSilent) {
+  FakeServer server(respond_with(200, "ok"));
+  const std::string known = endpoint_list_json(7, true, endpoint_json("s0", server.address()));
+  UnavailableDiscovery discovery(UnavailableDiscovery::CallFailure::kSilence, known);
+  WatchingNode node(discovery.script(), known);
+  ASSERT_EQ(node.status(), 200);
+  discovery.set_down(true);
+  int requests = 0, served = 0;
+  for (const auto end = SteadyClock::now() + 20s; SteadyClock::now() < end; std::this_thread::sleep_for(50ms))
+    served += status_of_request(node.program->port(), "u" + std::to_string(++requests)) == 200 ? 1 : 0;
+  EXPECT_GT(served, requests * 99 / 100);
+}
+
 // Neither must an idle period: a server is probed with a request, and its response confirms it as usable.
 TEST(StaleEndpointList, NodeServesAfterAnIdleTimeInALongOutage) {
   FakeServer server(respond_with(200, "ok"));
