Review case 8: as many nodes and servers as the site has

Cause: the site file has three nodes at the most and ten servers or more; the case had four of each.

--- a/review/8/play.cpp
+++ b/review/8/play.cpp
@@ -5,7 +5,7 @@
 
 using namespace review;
 
-constexpr int kNodes = 4;
+constexpr int kNodes = 3, kServers = 10, kClientsOfANode = 3;
 constexpr double kCrowded = 8;   // s; in so long discovery takes one call from every node, at the latest
 constexpr double kTold = 6;      // s; after a change that discovery had and could be reached for
 constexpr double kGrace = 1.05;  // s; rules.drainGrace and the 50 ms of sockets
@@ -27,14 +27,17 @@
 int play(const Environment& environment, RecordFile& record) {
   DeploymentOptions options;
   options.nodes = kNodes;
+  options.servers = kServers;
   Deployment& deployment = *new Deployment(environment, record, options);
   if (!deployment.start()) return kCouldNotRun;
   std::atomic<bool> is_over = false;
   std::vector<std::thread> threads;
   for (const auto& node : deployment.nodes) {
-    threads.emplace_back([&is_over, &record, address = node->address()] {
-      for (Client client(address, record); !is_over; sleep_for(0.05)) client.send({new_id()});
-    });
+    for (int i = 0; i < kClientsOfANode; ++i) {
+      threads.emplace_back([&is_over, &record, address = node->address()] {
+        for (Client client(address, record); !is_over; sleep_for(0.05)) client.send({new_id()});
+      });
+    }
   }
   Discovery& discovery = *deployment.discovery;
   threads.emplace_back([&] { call_from_elsewhere(discovery.address(), record, is_over); });
