--- a/adapter/reply_writer.cpp
+++ b/adapter/reply_writer.cpp
@@ -50,6 +50,10 @@
     out_.Bool(true);
     out_.EndObject();
   }
+  void operator()(const ListEndpoints&) const {
+    begin("LOOKUP");
+    out_.EndObject();
+  }
   void operator()(const SheddingReport& action) const {
     begin("JOURNAL_LINE");
     field("noteText", describe(action));
--- a/bench/virtual/session.h
+++ b/bench/virtual/session.h
@@ -69,6 +69,7 @@
   void act(int replica, const Cancel& a);
   void act(int replica, const SetTimer& a);
   void act(int replica, const WatchEndpoints& a);
+  void act(int replica, const ListEndpoints& a);
   void act(int replica, const SheddingReport& a);
   void finish_request(const std::string& id, Final result, double retry_after);
   void record_concurrency_limit(Second& s) const;
--- a/bench/virtual/session_replicas.cpp
+++ b/bench/virtual/session_replicas.cpp
@@ -71,6 +71,8 @@
   push(a.at, Event::Kind::kTimer, static_cast<std::size_t>(replica), a.token);
 }
 void Session::act(int, const WatchEndpoints&) {}  // the scenario sends updates without a watch
+
+void Session::act(int, const ListEndpoints&) {}
 void Session::act(int replica, const SheddingReport& a) {
   if (report_.log.size() < kMaxLogLines)
     report_.log.push_back(std::to_string(now_) + " s, replica " + std::to_string(replica) + ": " +
--- a/include/thymewood/actions.h
+++ b/include/thymewood/actions.h
@@ -45,6 +45,9 @@
 // Opens a watch on discovery, which reports endpoint changes from now on.
 struct WatchEndpoints {};
 
+// Requests the complete endpoint list from discovery once, without a watch.
+struct ListEndpoints {};
+
 // Numbers of requests rejected since the last report, by reason. Emitted at most once in ten seconds.
 struct SheddingReport {
   int over_tenant_limit = 0;  // above the learned rate limit of their tenant
@@ -55,6 +58,7 @@
 // Formats the report as one line of text, such as a log message.
 std::string describe(const SheddingReport& report);
 
-using Action = std::variant<Send, Reject, Fail, Cancel, SetTimer, WatchEndpoints, SheddingReport>;
+using Action =
+    std::variant<Send, Reject, Fail, Cancel, SetTimer, WatchEndpoints, ListEndpoints, SheddingReport>;
 
 }  // namespace thymewood
--- a/include/thymewood/events.h
+++ b/include/thymewood/events.h
@@ -69,10 +69,14 @@
   EndpointState state = EndpointState::kReady;
 };
 
+// A call to discovery: a watch of the changes, or a single request for the complete list.
+enum class DiscoveryCall { kWatch, kList };
+
 // Describes how a call to discovery failed, or how a watch ended.
 struct WatchFailure {
   bool had_responded = false;  // an open watch that had delivered a response
   double wait_time = 0;        // how long the call waited for a response
+  DiscoveryCall call = DiscoveryCall::kWatch;
 };
 
 // A response of discovery, or the failure of a call to it.
@@ -101,6 +105,13 @@
   double current_until = 0;  // with kStale: the time until which the list was current
 };
 
+// Discovery has answered a ListEndpoints action. The EndpointUpdate with the list precedes this event, and no
+// watch is open.
+struct EndpointsListed {
+  double current_until = 0;  // the list was current at this time
+  double wait_time = 0;      // how long the call waited for its response
+};
+
 // The live replicas of the load balancer and the rank of this one among them. Overrides the configured
 // replica_count and replica_index. It changes how requests are spread and how far shared limits apply here;
 // it never makes an endpoint usable.
@@ -116,6 +127,6 @@
 };
 
 using Event = std::variant<Started, Request, ResponseStarted, AttemptResult, RequestAbandoned, EndpointUpdate,
-                           EndpointListFreshness, ReplicaSetChanged, TimerFired>;
+                           EndpointListFreshness, EndpointsListed, ReplicaSetChanged, TimerFired>;
 
 }  // namespace thymewood
--- a/node/discovery_connection.cpp
+++ b/node/discovery_connection.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <limits>
 #include <utility>
 
 #include "event_log.h"
@@ -19,6 +20,8 @@
 constexpr double kOverdueWait = 1.0;     // s; an available discovery usually responds sooner
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
+// A watch has no end. An empty optional as the limit would reject each response with a Content-Length.
+constexpr std::uint64_t kMaxBodyBytes = std::numeric_limits<std::uint64_t>::max();
 
 double seconds_since(Clock::Steady::time_point then) {
   return std::chrono::duration<double>(Clock::Steady::now() - then).count();
@@ -48,16 +51,19 @@
       return "malformed";
     case WatchEndReason::kMalformedList:
       return "malformed_list";
+    case WatchEndReason::kListed:
+      return "listed";
     case WatchEndReason::kComplete:
       break;
   }
   return "complete";
 }
 
-http::request<http::empty_body> watch_request(const tcp::endpoint& discovery,
-                                              std::optional<std::uint64_t> version) {
-  std::string target = "/catalog/members?watch=1";
-  if (version) target += "&after=" + std::to_string(*version);
+http::request<http::empty_body> make_request(DiscoveryCall call, const tcp::endpoint& discovery,
+                                             std::optional<std::uint64_t> version) {
+  std::string target = "/catalog/members";
+  if (call == DiscoveryCall::kWatch) target += "?watch=1";
+  if (call == DiscoveryCall::kWatch && version) target += "&after=" + std::to_string(*version);
   http::request<http::empty_body> request(http::verb::get, target, 11);
   request.set(http::field::host, discovery.address().to_string() + ":" + std::to_string(discovery.port()));
   return request;
@@ -66,9 +72,9 @@
 }  // namespace
 
 void DiscoveryConnection::start(const tcp::endpoint& discovery, std::optional<std::uint64_t> version) {
-  parser_.body_limit(boost::none);
+  parser_.body_limit(kMaxBodyBytes);
   parser_.header_limit(kMaxHeaderBytes);
-  request_ = watch_request(discovery, version);
+  request_ = make_request(call_, discovery, version);
   restart_timer(kConnectTimeout);
   socket_.async_connect(discovery, [self = shared_from_this()](error_code error) {
     if (error || self->owner_ == nullptr) return self->end(WatchEndReason::kConnectFailed, error);
@@ -102,7 +108,8 @@
   if (owner == nullptr) return;
   {
     LogEvent event = log_info("watch_ended");
-    event.with("reason", name_of(reason))
+    event.with("call", call_ == DiscoveryCall::kList ? "list" : "watch")
+        .with("reason", name_of(reason))
         .with("age", seconds_since(started_at_))
         .with("answered", has_response_);
     if (error) event.with("error", error.message());
@@ -110,9 +117,11 @@
   WatchFailure failure;
   // A response that stays silent after its header delivers nothing.
   failure.had_responded = has_data_ || (has_response_ && reason != WatchEndReason::kSilent);
+  failure.call = call_;
   // A connection that was never established has not waited in discovery's queue.
   if (is_request_sent_ && !has_response_) failure.wait_time = seconds_since(request_sent_at_);
-  owner->on_ended(*this, {reason, error, failure, last_received_at_});
+  if (reason == WatchEndReason::kListed) failure.wait_time = response_wait_;
+  owner->on_ended(*this, {reason, error, failure, last_received_at_, responded_at_});
 }
 
 void DiscoveryConnection::restart_timer(double seconds) {
@@ -197,6 +206,8 @@
     return false;
   }
   if (!std::exchange(has_response_, true)) {
+    response_wait_ = seconds_since(request_sent_at_);
+    responded_at_ = clock_.now();
     const auto date = parser_.get()[http::field::date];
     owner_->on_response_started({date.data(), date.size()});
   }
--- a/node/discovery_connection.h
+++ b/node/discovery_connection.h
@@ -1,5 +1,5 @@
-// One watch request to discovery: connects, sends the request and reads the response, a stream of JSON
-// objects.
+// One call to discovery, a watch or a request for the complete list: connects, sends the request and reads
+// the response, a stream of JSON objects.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -33,7 +33,8 @@
   kUnexpectedStatus,
   kMalformedResponse,  // not HTTP
   kMalformedList,
-  kComplete  // the response ended; that of a watch should not
+  kComplete,  // the response ended; that of a watch should not
+  kListed     // the requested list has been received
 };
 
 struct WatchEnd {
@@ -41,6 +42,7 @@
   boost::system::error_code error;
   WatchFailure failure;
   double last_received_at = 0;  // s on the node's clock; time at which data was last received
+  double responded_at = 0;  // s on the node's clock; time at which the header of the response was received
 };
 
 class DiscoveryConnection : public std::enable_shared_from_this<DiscoveryConnection> {
@@ -69,10 +71,10 @@
     virtual void on_ended(DiscoveryConnection& connection, const WatchEnd& end) = 0;
   };
 
-  DiscoveryConnection(boost::asio::io_context& io, const Clock& clock, Owner& owner)
-      : owner_(&owner), clock_(clock), socket_(io), timer_(io) {}
+  DiscoveryConnection(boost::asio::io_context& io, const Clock& clock, Owner& owner, DiscoveryCall call)
+      : owner_(&owner), clock_(clock), call_(call), socket_(io), timer_(io) {}
 
-  // Requests the changes since `version`, or the full list if there is none.
+  // A watch requests the changes since `version`, or the full list if there is none.
   void start(const boost::asio::ip::tcp::endpoint& discovery, std::optional<std::uint64_t> version);
   // Reads all available data without blocking. No pending operation uses the parser or its buffer, so this
   // may be called at any time. Returns false if the connection has ended or was abandoned.
@@ -83,6 +85,7 @@
   void abandon();
 
   double last_received_at() const { return last_received_at_; }
+  DiscoveryCall call() const { return call_; }
 
  private:
   void send_request();
@@ -97,6 +100,7 @@
 
   Owner* owner_;  // null once ended
   const Clock& clock_;
+  const DiscoveryCall call_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;  // connect timeout, then silence timeout
   boost::beast::http::request<boost::beast::http::empty_body> request_;
@@ -107,6 +111,8 @@
   Clock::Steady::time_point started_at_ = Clock::Steady::now();
   Clock::Steady::time_point request_sent_at_;  // when the write of the request completed
   double last_received_at_ = 0;                // s on the node's clock
+  double responded_at_ = 0;                    // s on the node's clock
+  double response_wait_ = 0;                   // s; from the request to the header of the response
   bool is_request_sent_ = false;               // the write of the request has completed
   bool has_response_ = false;                  // with status 200
   bool is_overdue_ = false;                    // the owner was notified that there is no response yet
--- a/node/discovery_watch.cpp
+++ b/node/discovery_watch.cpp
@@ -40,7 +40,11 @@
 // A reconnect timer set before discovery moved can fire while a connection is already open. A second request
 // would take another slot in discovery's queue and discard the response to the first.
 void DiscoveryWatch::watch() {
-  if (!connection_) open();
+  if (!connection_) open(DiscoveryCall::kWatch);
+}
+
+void DiscoveryWatch::list() {
+  if (!connection_) open(DiscoveryCall::kList);
 }
 
 void DiscoveryWatch::refresh() {
@@ -49,14 +53,19 @@
 
 void DiscoveryWatch::recover() {
   if (connection_) mark_stale(connection_->last_received_at());
-  open();
+  open(DiscoveryCall::kWatch);
 }
 
-void DiscoveryWatch::open() {
+void DiscoveryWatch::open(DiscoveryCall call) {
   if (connection_) connection_->abandon();
-  connection_ = std::make_shared<DiscoveryConnection>(io_, clock_, static_cast<Owner&>(*this));
+  connection_ = std::make_shared<DiscoveryConnection>(io_, clock_, static_cast<Owner&>(*this), call);
   connection_opened_at_ = clock_.now();
-  if (LogEvent event = log_info("watch_started"); version_) event.with("index", *version_);
+  has_listed_ = false;
+  if (call == DiscoveryCall::kList) {
+    log_info("list_requested");
+  } else if (LogEvent event = log_info("watch_started"); version_) {
+    event.with("index", *version_);
+  }
   connection_->start(address_, version_);
 }
 
@@ -70,7 +79,7 @@
   version_.reset();
   consecutive_silent_connections_ = 0;
   listener_->on_discovery_moved();
-  open();
+  open(DiscoveryCall::kWatch);
 }
 
 double DiscoveryWatch::silence_timeout(bool has_response) const {
@@ -92,6 +101,10 @@
 // Any data from discovery shows that it is responsive, including a blank line: there may be no change to
 // send.
 void DiscoveryWatch::on_all_objects_complete() {
+  if (connection_->call() == DiscoveryCall::kList) {
+    if (has_listed_) connection_->end(WatchEndReason::kListed);
+    return;
+  }
   if (std::exchange(is_current_, true)) return;
   log_info("list_current");
   listener_->on_list_current();
@@ -129,23 +142,31 @@
       .with("index", update.version)
       .with("full", update.is_full)
       .with("entries", std::uint64_t{update.endpoints.size()});
+  has_listed_ = update.is_full;
   listener_->on_endpoints(update);
 }
 
 void DiscoveryWatch::on_ended(DiscoveryConnection& connection, const WatchEnd& end) {
   if (connection_.get() != &connection) return;
   const std::shared_ptr<DiscoveryConnection> ended = std::exchange(connection_, nullptr);
+  if (end.reason == WatchEndReason::kListed) return on_listed(end);
   mark_stale(end.last_received_at);
   if (clock_.now() - connection_opened_at_ >= kStableConnectionAge) consecutive_silent_connections_ = 0;
   // Reconnects without a backoff: the silence timeout has already passed, and replicas detect the silence at
   // different times anyway.
-  if (end.reason == WatchEndReason::kSilent && consecutive_silent_connections_++ < kMaxEarlyReplacements) {
+  if (end.reason == WatchEndReason::kSilent && end.failure.call == DiscoveryCall::kWatch &&
+      consecutive_silent_connections_++ < kMaxEarlyReplacements) {
     if (!end.failure.had_responded) listener_->on_call_unanswered();
-    return open();
+    return open(DiscoveryCall::kWatch);
   }
   listener_->on_watch_failed(end.failure);
 }
 
+void DiscoveryWatch::on_listed(const WatchEnd& end) {
+  start_times_.set_list_current_until(end.responded_at);
+  listener_->on_endpoints_listed(end.responded_at, end.failure.wait_time);
+}
+
 void DiscoveryWatch::on_malformed_list(const std::string& error) {
   if (!std::exchange(is_malformed_list_logged_, true)) log_warning("list_unreadable").with("problem", error);
 }
--- a/node/discovery_watch.h
+++ b/node/discovery_watch.h
@@ -32,6 +32,7 @@
   void set_known_version(std::uint64_t version) { version_ = version; }
 
   void watch() override;
+  void list() override;
   void refresh() override;
   // Moves the watch to a new address and requests the full list there.
   void move_to(const boost::asio::ip::tcp::endpoint& address);
@@ -49,8 +50,9 @@
   void on_malformed_list(const std::string& error) override;
   void on_ended(DiscoveryConnection& connection, const WatchEnd& end) override;
 
-  void open();
+  void open(DiscoveryCall call);
   void mark_stale(double last_received_at);
+  void on_listed(const WatchEnd& end);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
@@ -61,6 +63,7 @@
   std::optional<std::uint64_t> version_;  // of the last received list
   std::shared_ptr<DiscoveryConnection> connection_;
   bool is_current_ = false;
+  bool has_listed_ = false;                 // the open connection has delivered a full list
   int consecutive_silent_connections_ = 0;  // without a stable connection in between
   double connection_opened_at_ = 0;         // s on the node's clock
   bool is_malformed_list_logged_ = false;   // since the last valid list
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -184,6 +184,10 @@
   post_event(EndpointListFreshness{EndpointListFreshness::State::kCallUnanswered});
 }
 
+void Dispatcher::on_endpoints_listed(double as_of, double wait_time) {
+  post_event(EndpointsListed{as_of, wait_time});
+}
+
 void Dispatcher::on_discovery_moved() {
   post_event(EndpointListFreshness{EndpointListFreshness::State::kDiscoveryMoved});
 }
@@ -351,6 +355,8 @@
 
 void Dispatcher::perform(const WatchEndpoints&) { endpoint_watch_.watch(); }
 
+void Dispatcher::perform(const ListEndpoints&) { endpoint_watch_.list(); }
+
 void Dispatcher::perform(const SheddingReport& action) {
   log_info("requests_shed")
       .with("over_tenant_limit", action.over_tenant_limit)
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -58,6 +58,7 @@
   void on_list_current() override;
   void on_list_stale(double as_of) override;
   void on_call_unanswered() override;
+  void on_endpoints_listed(double as_of, double wait_time) override;
   void on_discovery_moved() override;
   void on_watch_failed(const WatchFailure& failure) override;
 
@@ -83,6 +84,7 @@
   void perform(const Cancel& action);
   void perform(const SetTimer& action);
   void perform(const WatchEndpoints& action);
+  void perform(const ListEndpoints& action);
   void perform(const SheddingReport& action);
 
   boost::asio::io_context& io_;
--- a/node/endpoint_watch.h
+++ b/node/endpoint_watch.h
@@ -16,12 +16,14 @@
 
   // Opens a watch for the changes since the current list, unless one is open or being opened.
   virtual void watch() = 0;
+  // Requests the complete list, unless a watch is open or any call is in progress.
+  virtual void list() = 0;
   // Reads available data from discovery without blocking and notifies the listener before returning. Costs
   // one system call if there is no data.
   virtual void refresh() = 0;
 };
 
-// EndpointWatch::watch() never notifies the listener before it returns.
+// EndpointWatch::watch() and list() never notify the listener before they return.
 class EndpointListener {
  public:
   EndpointListener() = default;
@@ -37,9 +39,12 @@
   virtual void on_list_stale(double as_of) = 0;
   // A call has had no response so far, or is closed and repeated at once.
   virtual void on_call_unanswered() = 0;
+  // A request for the complete list was answered after `wait_time` s; the list was current at `as_of`, in
+  // seconds on the node's clock. No watch is open.
+  virtual void on_endpoints_listed(double as_of, double wait_time) = 0;
   // Discovery has moved to another address.
   virtual void on_discovery_moved() = 0;
-  // The watch has failed. It is not reopened until EndpointWatch::watch() is called.
+  // The watch, or the request for the list, has failed. No call is made until watch() or list() is called.
   virtual void on_watch_failed(const WatchFailure& failure) = 0;
 };
 
--- a/policy/balancer.cpp
+++ b/policy/balancer.cpp
@@ -25,7 +25,8 @@
 namespace thymewood {
 namespace {
 
-constexpr std::uint64_t kWatchTimer = 0;
+// Tokens of the timers for the next call to discovery.
+constexpr std::uint64_t kWatchTimer = 0, kListTimer = 1;
 
 // Fraction of the requests that are sent although they have too little time left. If all were shed, no
 // response would be measured, and a mean latency learned under load could never fall.
@@ -94,7 +95,9 @@
   }
 
   void on(const TimerFired& timer) {
-    if (timer.token == kWatchTimer && settings_.uses_watch) emit(WatchEndpoints{});
+    if (!settings_.uses_watch) return;
+    if (timer.token == kWatchTimer) emit(WatchEndpoints{});
+    if (timer.token == kListTimer) emit(ListEndpoints{});
   }
 
   void on(const EndpointUpdate& update) {
@@ -107,11 +110,21 @@
   }
 
   void on_watch_failed(const std::optional<WatchFailure>& failure) {
-    const double delay = watch_backoff_.next_delay(failure, random_);
-    if (settings_.uses_watch) emit(SetTimer{now_ + delay, kWatchTimer});
+    schedule(watch_backoff_.next_call(failure, lease_.list_valid_until() - now_, random_));
     if (!failure || !failure->had_responded) lease_.on_call_unanswered(now_);
   }
 
+  void on(const EndpointsListed& listed) {
+    lease_.mark_list_stale(listed.current_until);
+    schedule(
+        watch_backoff_.next_call_after_list(listed.wait_time, lease_.list_valid_until() - now_, random_));
+  }
+
+  void schedule(const WatchBackoff::NextCall& next) {
+    if (!settings_.uses_watch) return;
+    emit(SetTimer{now_ + next.delay, next.call == DiscoveryCall::kList ? kListTimer : kWatchTimer});
+  }
+
   void on(const EndpointListFreshness& freshness) {
     switch (freshness.state) {
       case EndpointListFreshness::State::kCurrent:
--- a/policy/endpoint_lease.h
+++ b/policy/endpoint_lease.h
@@ -47,15 +47,17 @@
 
   bool is_current() const { return list_is_current_ || duration_ == kForever; }
 
+  // The time until which a list that is no longer current may be used without further confirmation.
+  double list_valid_until() const { return duration_ == kForever ? kForever : end_from(as_of_, duration_); }
+
   // Whether any server may be used: a drain or removal that has not been received does not count as notified.
   bool is_list_trusted(double now) const {
-    return is_current() || now < end_from(as_of_, duration_) ||
-           now < end_from(unavailable_until_, outage_duration_);
+    return is_current() || now < list_valid_until() || now < end_from(unavailable_until_, outage_duration_);
   }
 
   // Whether a server may be used whose last accepted request was sent at `accepted_at`.
   bool is_valid(double now, double accepted_at) const {
-    if (is_current() || now < end_from(as_of_, duration_)) return true;
+    if (is_current() || now < list_valid_until()) return true;
     return now < end_from(std::min(unavailable_until_, accepted_at), outage_duration_);
   }
 
--- a/tests/node/stale_endpoints_test.cpp
+++ b/tests/node/stale_endpoints_test.cpp
@@ -197,6 +197,81 @@
   expect_drain_is_kept_after_an_outage(UnavailableDiscovery::CallFailure::kRejection);
 }
 
+// A fake discovery that is available: it answers each request for the list. From reject_watches() on, it
+// resets the open watches and rejects each new one with a 503 after a wait.
+class WatchRejectingDiscovery {
+ public:
+  explicit WatchRejectingDiscovery(std::string list)
+      : list_(std::move(list)), script_([this](RawConnection& connection, int call) {
+          if (script_.requests()[static_cast<std::size_t>(call)].text.find("watch=1") == std::string::npos) {
+            ++list_calls_;
+            connection.write(http_response(200, current_list()));
+          } else if (is_rejecting_) {
+            for (int i = 0; i < 200 && !is_stopping_; ++i) std::this_thread::sleep_for(10ms);
+            connection.write(http_response(503, ""));
+          } else {
+            connection.write(kWatchResponseHead);
+            while (!is_rejecting_ && !is_stopping_ && connection.write(http_chunk(current_list() + "\n")))
+              std::this_thread::sleep_for(50ms);
+            connection.reset();
+          }
+        }) {}
+  ~WatchRejectingDiscovery() { is_stopping_ = true; }
+  void reject_watches() { is_rejecting_ = true; }
+  void set_list(const std::string& list) {
+    const std::lock_guard lock(mutex_);
+    list_ = list;
+  }
+  int list_calls() const { return list_calls_; }
+  ScriptedDiscovery& script() { return script_; }
+
+ private:
+  std::string current_list() {
+    const std::lock_guard lock(mutex_);
+    return list_;
+  }
+  std::mutex mutex_;
+  std::string list_;
+  std::atomic<bool> is_rejecting_ = false, is_stopping_ = false;
+  std::atomic<int> list_calls_ = 0;
+  ScriptedDiscovery script_;
+};
+
+// Guards against requests to draining servers while an available discovery rejects watches: the node took it
+// for one that is down, and did not request the list.
+TEST(StaleEndpointList, DrainsAreKeptWhileDiscoveryRejectsWatches) {
+  constexpr double kMaxDelay = kMaxNotificationDelay + kDrainGracePeriod + kTolerance;
+  FakeServer first(respond_with(200, "ok")), second(respond_with(200, "ok")), ready(respond_with(200, "ok"));
+  const std::string ready_entry = endpoint_json("s2", ready.address());
+  const std::string second_entry = endpoint_json("s1", second.address()) + "," + ready_entry;
+  const std::string all =
+      endpoint_list_json(7, true, endpoint_json("s0", first.address()) + "," + second_entry);
+  WatchRejectingDiscovery discovery(all);
+  WatchingNode node(discovery.script(), all);
+  int requests = 0, served = 0;
+  const auto send_until = [&](SteadyClock::time_point end) {
+    for (; SteadyClock::now() < end; std::this_thread::sleep_for(10ms))
+      served += status_of_request(node.program->port(), "r" + std::to_string(++requests)) == 200 ? 1 : 0;
+  };
+  const auto expect_drain_is_kept = [&](FakeServer& server, const std::string& list, double watched) {
+    EXPECT_GT(server.requests().size(), 0U);
+    discovery.set_list(list);
+    const auto drain_start = SteadyClock::now();
+    send_until(drain_start + std::chrono::milliseconds(static_cast<int>(kMaxDelay * 1000)));
+    const std::size_t allowed = server.requests().size();
+    send_until(drain_start + std::chrono::milliseconds(static_cast<int>(watched * 1000)));
+    EXPECT_EQ(server.requests().size(), allowed) << "requests after the drain counts as notified";
+  };
+  send_until(SteadyClock::now() + 500ms);
+  EXPECT_EQ(discovery.list_calls(), 0) << "an open watch reports all changes";
+  discovery.reject_watches();
+  send_until(SteadyClock::now() + 500ms);
+  expect_drain_is_kept(first, endpoint_list_json(8, true, second_entry), 9);
+  expect_drain_is_kept(second, endpoint_list_json(9, true, ready_entry), 11);
+  EXPECT_GT(served, requests * 99 / 100) << "the other servers stay in use";
+  EXPECT_LT(discovery.list_calls(), 6) << "one call for the list in about 6 s";
+}
+
 // Discovery needs 6 s to serve one request from each node. It is down for 5 s, and a third of the nodes
 // restart while it is still serving the others.
 TEST(StaleEndpointList, ReplicasGetTheirListsFromAnOverloadedDiscovery) {
--- a/tests/policy/watch_backoff_test.cpp
+++ b/tests/policy/watch_backoff_test.cpp
@@ -54,6 +54,57 @@
     EXPECT_GT(call_times[i] - call_times[i - 250], kLease / 8);
 }
 
+// Guards against drains that go unnoticed while discovery rejects watches and would answer a request for the
+// list: the list must be requested while the last one may still be used.
+TEST(WatchBackoff, RequestsTheListInTimeAfterARejectedWatch) {
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    for (const double wait : {0.01, 0.5, 2.0, 3.0}) {
+      Random random(seed);
+      WatchBackoff backoff(kPollInterval, kLease);
+      WatchBackoff::NextCall next = backoff.next_call(WatchFailure{.had_responded = true}, kLease, random);
+      double list_age = 0;
+      for (int calls = 0; calls < 100; ++calls) {
+        list_age += next.delay;
+        if (next.call == DiscoveryCall::kList) {
+          ASSERT_LE(list_age, kLease + 0.3) << "wait " << wait << ", seed " << seed;
+          list_age = 0;
+          backoff.reset();
+          next = backoff.next_call_after_list(0.01, kLease, random);
+          EXPECT_EQ(next.call, DiscoveryCall::kWatch);
+        } else {
+          list_age += wait;
+          next = backoff.next_call(WatchFailure{.wait_time = wait}, kLease - list_age, random);
+        }
+      }
+    }
+  }
+}
+
+// An answer that had to wait shows that discovery is overloaded: the interval between calls is kept.
+TEST(WatchBackoff, KeepsItsIntervalAfterAListThatWasQueued) {
+  Random random(1);
+  WatchBackoff backoff(kPollInterval, kLease);
+  const WatchBackoff::NextCall next = backoff.next_call_after_list(1.5, kLease, random);
+  EXPECT_EQ(next.call, DiscoveryCall::kWatch);
+  EXPECT_GT(next.delay, 0.9 * kLease - 1.5);
+}
+
+// A long outage ends with a watch in most replicas, but the list is requested as well: discovery may have
+// become available and reject watches only.
+TEST(WatchBackoff, RequestsTheListNowAndThenInALongOutage) {
+  for (const double wait : {0.01, kWait}) {
+    Random random(1);
+    WatchBackoff backoff(kPollInterval, kLease);
+    DiscoveryCall call = DiscoveryCall::kWatch;
+    int lists = 0;
+    for (int i = 0; i < 40; ++i) {
+      call = backoff.next_call(WatchFailure{false, wait, call}, -1, random).call;
+      lists += call == DiscoveryCall::kList ? 1 : 0;
+    }
+    EXPECT_EQ(lists, 10) << wait;
+  }
+}
+
 TEST(WatchBackoff, RetriesImmediateFailuresBeforeChangesCountAsNotified) {
   for (std::uint64_t seed = 1; seed < 100; ++seed) {
     WatchBackoff backoff(kPollInterval, kLease);
@@ -93,13 +144,7 @@
         plan.work_of_all = work_of_all;
         plan.restarted_part = 0.1;
         const auto result = bench::simulate_herd(
-            plan,
-            [] {
-              const auto backoff = std::make_shared<WatchBackoff>(kPollInterval, kLease);
-              return bench::BackoffPolicy(
-                  [backoff](const auto& failure, auto& rng) { return backoff->next_delay(failure, rng); });
-            },
-            seed);
+            plan, [] { return bench::make_watch_backoff(kPollInterval, kLease); }, seed);
         EXPECT_LT(result.last(), 30) << nodes << " nodes, " << work_of_all
                                      << " s of work for one call of each, seed " << seed;
         EXPECT_GT(result.share_within(6), 0.5);
