--- a/node/client_session.cpp
+++ b/node/client_session.cpp
@@ -354,7 +354,7 @@
 void ClientSession::on_written(error_code error) {
   if (context_ == nullptr || state_ != State::kWriting) return;
   if (error) return close(SessionEnd::kWriteFailed);
-  response_ = {};
+  release_memory(response_);
   memory_.resize(0);
   // Pipelined requests that are still buffered are abandoned.
   if (reader_.is_peer_closed()) return close(SessionEnd::kClientClosed);
--- a/node/message_memory.h
+++ b/node/message_memory.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http.hpp>
 #include <cstddef>
+#include <utility>
 
 #include "message.h"
 
@@ -16,6 +17,13 @@
   return kFieldOverhead + name_size + value_size;
 }
 
+// Frees the heap memory of a string or a message. An assignment from an empty one would keep its buffer.
+template <class Value>
+void release_memory(Value& value) {
+  const Value released(std::move(value));
+  value = {};
+}
+
 // The bytes of a complete message.
 template <bool is_request>
 [[nodiscard]] std::size_t message_memory(
--- a/node/upstream_attempt.cpp
+++ b/node/upstream_attempt.cpp
@@ -161,7 +161,7 @@
   }
   is_sent_ = true;
   if (send_by_ < deadline_) arm_timer();
-  serialized_ = {};
+  release_memory(serialized_);
   memory_.resize(0);
   read_response();
 }
--- a/tests/node/memory_test.cpp
+++ b/tests/node/memory_test.cpp
@@ -93,6 +93,31 @@
   }
 }
 
+// Guards against a node that is killed for memory by long messages: each idle connection kept the body of its
+// last response, and each attempt in flight its request, after their memory was no longer in the budget.
+TEST(Memory, LongMessagesAreFreedWithTheirBudget) {
+  const std::string body(std::size_t{64} * 1024, 'x');
+  FakeServer server([&](RawConnection& connection, const std::string&) {
+    return connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + http_chunk(body) +
+                            "0\r\n\r\n");
+  });
+  NodeConfig config;
+  config.memory_mb = 32;
+  config.sockets = 1024;
+  Deployment d({&server}, config);
+  constexpr int kClients = 300;
+  std::vector<RawConnection> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(d.client());
+    clients.back().write(ClientRequest{.id = "long" + std::to_string(i), .body = body}.text());
+    const std::string response = clients.back().read_message();
+    ASSERT_EQ(status_of(response), 200);
+  }
+  if (kIsMemoryMeasurable) {
+    EXPECT_LT(allocated_mb(d.program->pid()), config.memory_mb / 2.0) << "no request is in flight";
+  }
+}
+
 // The same for requests that are pipelined behind one that is being answered.
 TEST(Memory, PipelinedRequestsAreWithinTheBudget) {
   boost::asio::io_context io(1);
