--- a/node/client_session.cpp
+++ b/node/client_session.cpp
@@ -257,8 +257,9 @@
   if (const auto rejection = parse_request_event(request, context_->catalog, event)) {
     return reject(*rejection, Framing::kIntact);
   }
-  if (context_->dispatcher.is_pending(event.id)) {
-    return reject({http::status::bad_request, "X-Request-ID is that of an open request"}, Framing::kIntact);
+  if (context_->dispatcher.is_duplicate(event.id)) {
+    return reject({http::status::bad_request, "X-Request-ID is that of an earlier request"},
+                  Framing::kIntact);
   }
   has_sent_valid_request_ = true;
   // The timeout counts from the arrival of the request. The request may have been unread while this process
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -90,8 +90,11 @@
   }
   PendingRequest& request =
       requests_.add(event.id, std::move(message), std::move(handler), now, event.time_left);
-  request.is_retryable = event.request_class < idempotency_by_class_.size() &&
-                         idempotency_by_class_[event.request_class] != Idempotency::kNotIdempotent;
+  const Idempotency idempotency = event.request_class < idempotency_by_class_.size()
+                                      ? idempotency_by_class_[event.request_class]
+                                      : Idempotency::kNotIdempotent;
+  request.is_retryable = idempotency != Idempotency::kNotIdempotent;
+  request.may_run_twice = idempotency == Idempotency::kIdempotent;
   // Deferring the request here rather than in the listen backlog ensures that it is answered before its
   // client's timeout.
   if (is_awaiting_first_list_) return deferred_requests_.push_back(std::move(event));
@@ -99,6 +102,10 @@
   post_event(std::move(event));
 }
 
+bool Dispatcher::is_duplicate(const std::string& id) {
+  return requests_.contains(id) || abandoned_ids_.contains(id, clock_.now());
+}
+
 void Dispatcher::limit_deadlines(double max_deadline) {
   max_deadline_ = max_deadline;
   requests_.limit_deadlines(max_deadline);
@@ -107,6 +114,7 @@
 void Dispatcher::on_client_disconnected(const std::string& id) {
   PendingRequest* const request = requests_.find_unanswered(id);
   if (request == nullptr) return;
+  if (!request->may_run_twice && !request->attempts.empty()) abandoned_ids_.add(id, clock_.now());
   requests_.abandon(*request);
   post_event(RequestAbandoned{id});
   requests_.remove_if_complete(id);
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "abandoned_ids.h"
 #include "clock.h"
 #include "endpoint_list.h"
 #include "endpoint_watch.h"
@@ -50,8 +51,8 @@
   // Accepts a request whose client times out after `event.time_left`. The response handler may be called
   // before this returns. If memory is exhausted, throws std::exception and does not accept the request.
   void submit(Request event, std::shared_ptr<const HttpRequest> message, ResponseHandler handler);
-  // Whether a request with this id is pending.
-  bool is_pending(const std::string& id) const { return requests_.contains(id); }
+  // Whether a request with this id is pending, or may have run for a client that has disconnected.
+  [[nodiscard]] bool is_duplicate(const std::string& id);
   void on_client_disconnected(const std::string& id);
 
   void on_endpoints(const EndpointList& update) override;
@@ -93,6 +94,7 @@
   Upstream& upstream_;
   EndpointWatch& endpoint_watch_;
   PendingRequests requests_;
+  AbandonedIds abandoned_ids_;
   std::optional<membership::IsolationDetector> isolation_;
 
   bool uses_watch_;
--- a/node/pending_requests.h
+++ b/node/pending_requests.h
@@ -33,7 +33,8 @@
 
 struct PendingRequest {
   std::shared_ptr<const HttpRequest> message;
-  bool is_retryable = true;  // depends on the idempotency of its class
+  bool is_retryable = true;   // depends on the idempotency of its class, like the next one
+  bool may_run_twice = true;  // without harm
   // Empty once the final response was sent or the client has disconnected.
   std::function<void(FinalResponse&&)> on_response;
   // Shared, because a call can detect that the client has disconnected and remove this request.
