--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -144,11 +144,12 @@
   was_ready = is_ready;
 }
 
-void Dispatcher::on_endpoints(const EndpointList& update) {
+void Dispatcher::on_endpoints(const EndpointList& listed) {
+  const EndpointList update = address_owners_.resolve(listed);
   EndpointUpdate event;
   event.form = update.is_full ? EndpointUpdate::Form::kFull : EndpointUpdate::Form::kDelta;
-  for (const ListedEndpoint& listed : update.endpoints) {
-    const Endpoint& endpoint = listed.endpoint;
+  for (const ListedEndpoint& entry : update.endpoints) {
+    const Endpoint& endpoint = entry.endpoint;
     const bool is_ready = endpoint.state == EndpointState::kReady;
     log_debug("server_listed").with("server", endpoint.address).with("status", log_name(endpoint.state));
     set_ready(endpoint.address, is_ready);
@@ -156,7 +157,7 @@
       upstream_.remove_endpoint(endpoint.address);
       ready_by_server_.erase(endpoint.address);
     } else {
-      upstream_.update_endpoint(endpoint.address, listed.socket_address, endpoint.started_at, is_ready);
+      upstream_.update_endpoint(endpoint.address, entry.socket_address, endpoint.started_at, is_ready);
     }
     event.endpoints.push_back(endpoint);
   }
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "abandoned_ids.h"
+#include "address_owners.h"
 #include "clock.h"
 #include "endpoint_list.h"
 #include "endpoint_watch.h"
@@ -55,7 +56,7 @@
   [[nodiscard]] bool is_duplicate(const std::string& id);
   void on_client_disconnected(const std::string& id);
 
-  void on_endpoints(const EndpointList& update) override;
+  void on_endpoints(const EndpointList& listed) override;
   void on_list_current() override;
   void on_list_stale(double as_of) override;
   void on_call_unanswered() override;
@@ -95,6 +96,7 @@
   EndpointWatch& endpoint_watch_;
   PendingRequests requests_;
   AbandonedIds abandoned_ids_;
+  AddressOwners address_owners_;
   std::optional<membership::IsolationDetector> isolation_;
 
   bool uses_watch_;
