--- a/node/discovery_watch.cpp
+++ b/node/discovery_watch.cpp
@@ -61,6 +61,7 @@
   connection_ = std::make_shared<DiscoveryConnection>(io_, clock_, static_cast<Owner&>(*this), call);
   connection_opened_at_ = clock_.now();
   has_listed_ = false;
+  has_received_update_ = false;
   if (call == DiscoveryCall::kList) {
     log_info("list_requested");
   } else if (LogEvent event = log_info("watch_started"); version_) {
@@ -136,7 +137,11 @@
   }
   // An older delta would revert a newer one, such as a drain. A full list is accepted with any version,
   // because discovery may have restarted its version numbers.
-  if (!update.is_full && version_ && update.version < *version_) return;
+  if (!update.is_full && version_ && update.version < *version_) {
+    if (!has_received_update_) on_versions_restarted();
+    return;
+  }
+  has_received_update_ = true;
   version_ = update.version;
   log_info("list_received")
       .with("index", update.version)
@@ -162,6 +167,15 @@
   listener_->on_watch_failed(end.failure);
 }
 
+// The first change on a connection is older than the version that was requested: discovery has restarted, and
+// its earlier changes since then are unknown as well.
+void DiscoveryWatch::on_versions_restarted() {
+  log_info("list_versions_restarted");
+  mark_stale(connection_opened_at_);
+  version_.reset();
+  open(DiscoveryCall::kWatch);
+}
+
 void DiscoveryWatch::on_listed(const WatchEnd& end) {
   start_times_.set_list_current_until(end.responded_at);
   listener_->on_endpoints_listed(end.responded_at, end.failure.wait_time);
--- a/node/discovery_watch.h
+++ b/node/discovery_watch.h
@@ -52,6 +52,7 @@
 
   void open(DiscoveryCall call);
   void mark_stale(double last_received_at);
+  void on_versions_restarted();
   void on_listed(const WatchEnd& end);
 
   boost::asio::io_context& io_;
@@ -64,6 +65,7 @@
   std::shared_ptr<DiscoveryConnection> connection_;
   bool is_current_ = false;
   bool has_listed_ = false;                 // the open connection has delivered a full list
+  bool has_received_update_ = false;        // the open connection has delivered a list or a change
   int consecutive_silent_connections_ = 0;  // without a stable connection in between
   double connection_opened_at_ = 0;         // s on the node's clock
   bool is_malformed_list_logged_ = false;   // since the last valid list
