--- a/bench/discovery/reconnect_herd.h
+++ b/bench/discovery/reconnect_herd.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <queue>
+#include <utility>
 #include <vector>
 
 #include "random.h"
@@ -63,68 +65,114 @@
           }};
 }
 
-// `make_policy` creates the policy of each process: one for each node, and a new one when a node restarts.
-template <typename MakePolicy>
-HerdResult simulate_herd(const HerdPlan& plan, const MakePolicy& make_policy, std::uint64_t seed) {
+class HerdSimulation {
+ public:
+  // Creates the policy of each process: one for each node, and a new one when a node restarts.
+  using MakePolicy = std::function<BackoffPolicy()>;
+
+  HerdSimulation(const HerdPlan& plan, MakePolicy make_policy, std::uint64_t seed)
+      : plan_(plan), make_policy_(std::move(make_policy)), random_(seed) {
+    const auto nodes = static_cast<std::size_t>(plan.nodes);
+    out_.recovered_after.assign(nodes, kNever);
+    out_.watching_after.assign(nodes, kNever);
+    nodes_.resize(nodes);
+    const int restarted = static_cast<int>(plan.restarted_part * plan.nodes);
+    for (int i = 0; i < plan.nodes; ++i) {
+      Node& node = nodes_[static_cast<std::size_t>(i)];
+      node.policy = make_policy_();
+      const auto next = node.policy.next_call(WatchFailure{true, 0}, plan.list_lease, random_);
+      calls_.push({next.delay, i, 0, next.call});
+      if (i < restarted) calls_.push({restart_time(), i, 1, DiscoveryCall::kWatch});
+    }
+  }
+
+  HerdResult run() {
+    while (!calls_.empty() && calls_.top().at < plan_.outage + plan_.horizon) {
+      const Call call = calls_.top();
+      calls_.pop();
+      if (call.process > node_of(call).process) restart(call);
+      if (call.process < node_of(call).process) continue;
+      if (const auto wait = process(call)) {
+        on_answered(call, *wait);
+      } else {
+        on_failed(call);
+      }
+    }
+    return out_;
+  }
+
+ private:
+  static constexpr double kNever = std::numeric_limits<double>::infinity();
+
   struct Call {
-    double at;
-    int node, process;
+    double at = 0;
+    int node = 0, process = 0;
     DiscoveryCall kind = DiscoveryCall::kWatch;
     bool operator>(const Call& other) const { return at > other.at; }
   };
-  constexpr double kNever = std::numeric_limits<double>::infinity();
-  const double outage_end = plan.outage, restart = plan.outage + plan.restart_delay;
-  const double work = plan.work_of_all / plan.nodes;
-  const int restarted = static_cast<int>(plan.restarted_part * plan.nodes);
-  Random random(seed);
-  std::vector<BackoffPolicy> policies;
-  std::vector<int> process(static_cast<std::size_t>(plan.nodes), 0);
-  std::priority_queue<Call, std::vector<Call>, std::greater<>> calls;
-  for (int i = 0; i < plan.nodes; ++i) {
-    policies.push_back(make_policy());
-    calls.push({policies.back().next_call(WatchFailure{true, 0}, plan.list_lease, random).delay, i, 0});
-    if (i < restarted) calls.push({restart, i, 1});
+  struct Node {
+    BackoffPolicy policy;
+    int process = 0;
+    double list_current_until = 0;
+  };
+
+  double restart_time() const { return plan_.outage + plan_.restart_delay; }
+  Node& node_of(const Call& call) { return nodes_[static_cast<std::size_t>(call.node)]; }
+
+  void restart(const Call& call) {
+    const auto index = static_cast<std::size_t>(call.node);
+    nodes_[index] = {make_policy_(), call.process, restart_time()};
+    out_.recovered_after[index] = out_.watching_after[index] = kNever;
   }
-  HerdResult out;
-  out.recovered_after.assign(static_cast<std::size_t>(plan.nodes), kNever);
-  out.watching_after = out.recovered_after;
-  std::vector<double> list_current_until(static_cast<std::size_t>(plan.nodes), 0);
-  double free_at = 0;
-  while (!calls.empty() && calls.top().at < outage_end + plan.horizon) {
-    const Call call = calls.top();
-    calls.pop();
-    const auto node = static_cast<std::size_t>(call.node);
-    if (call.process > process[node]) {
-      process[node] = call.process;
-      policies[node] = make_policy();
-      out.recovered_after[node] = out.watching_after[node] = kNever;
-      list_current_until[node] = restart;
-    }
-    if (call.process < process[node]) continue;
-    bool answered = false;
-    if (call.at >= outage_end) {
-      const double wait = std::max(0.0, free_at - call.at) + work;
-      answered = wait <= plan.max_wait;
-      free_at = std::max(free_at, call.at) + work * (answered ? 1 : plan.rejected_work_factor);
-      const double start = call.process > 0 ? restart : outage_end;
-      const double answered_at = call.at + wait;
-      if (answered) out.recovered_after[node] = std::min(out.recovered_after[node], answered_at - start);
-      if (answered && call.kind == DiscoveryCall::kWatch) out.watching_after[node] = answered_at - start;
-      if (!answered) ++out.rejected;
-      if (answered && call.kind == DiscoveryCall::kList) {
-        list_current_until[node] = answered_at;
-        const auto next = policies[node].next_call_after_list(wait, plan.list_lease, random);
-        calls.push({answered_at + next.delay, call.node, call.process, next.call});
-      }
+
+  // Returns how long the call waits for its answer, in seconds; nothing if it fails.
+  std::optional<double> process(const Call& call) {
+    if (call.at < plan_.outage) return std::nullopt;
+    const double work = plan_.work_of_all / plan_.nodes;
+    const double wait = std::max(0.0, free_at_ - call.at) + work;
+    const bool is_answered = wait <= plan_.max_wait;
+    free_at_ = std::max(free_at_, call.at) + work * (is_answered ? 1 : plan_.rejected_work_factor);
+    if (is_answered) return wait;
+    ++out_.rejected;
+    return std::nullopt;
+  }
+
+  void on_answered(const Call& call, double wait) {
+    const auto index = static_cast<std::size_t>(call.node);
+    const double answered_at = call.at + wait;
+    const double after = answered_at - (call.process > 0 ? restart_time() : plan_.outage);
+    out_.recovered_after[index] = std::min(out_.recovered_after[index], after);
+    if (call.kind == DiscoveryCall::kWatch) {
+      out_.watching_after[index] = after;
+      return;
     }
-    if (answered) continue;
-    const double failed_at = call.at + plan.max_wait;
-    const auto next =
-        policies[node].next_call(WatchFailure{false, plan.max_wait, call.kind},
-                                 list_current_until[node] + plan.list_lease - failed_at, random);
-    calls.push({failed_at + next.delay, call.node, call.process, next.call});
+    node_of(call).list_current_until = answered_at;
+    push_next(call, answered_at, node_of(call).policy.next_call_after_list(wait, plan_.list_lease, random_));
+  }
+
+  void on_failed(const Call& call) {
+    const double failed_at = call.at + plan_.max_wait;
+    const double list_validity = node_of(call).list_current_until + plan_.list_lease - failed_at;
+    const WatchFailure failure{false, plan_.max_wait, call.kind};
+    push_next(call, failed_at, node_of(call).policy.next_call(failure, list_validity, random_));
+  }
+
+  void push_next(const Call& call, double now, const WatchBackoff::NextCall& next) {
+    calls_.push({now + next.delay, call.node, call.process, next.call});
   }
-  return out;
+
+  HerdPlan plan_;
+  MakePolicy make_policy_;
+  Random random_;
+  std::vector<Node> nodes_;
+  std::priority_queue<Call, std::vector<Call>, std::greater<>> calls_;
+  double free_at_ = 0;  // s; when discovery has processed all calls so far
+  HerdResult out_;
+};
+
+inline HerdResult simulate_herd(const HerdPlan& plan, const HerdSimulation::MakePolicy& make_policy,
+                                std::uint64_t seed) {
+  return HerdSimulation(plan, make_policy, seed).run();
 }
 
 }  // namespace thymewood::bench
--- a/node/address_owners.cpp
+++ b/node/address_owners.cpp
@@ -11,7 +11,10 @@
 constexpr double kLongAgo = -std::numeric_limits<double>::infinity();
 
 // Start times before that of this node are negative; 0 stands for long ago.
-double comparable_start(double started_at) { return started_at == 0 ? kLongAgo : started_at; }
+double comparable_start(double started_at) {
+  if (started_at == 0) return kLongAgo;
+  return started_at;
+}
 
 }  // namespace
 
