AddressOwners: look at the addresses of an update only

Cause: each update went through all known servers: 1.67 ms a change with 3,200 servers, beyond what a node may use there. Change: servers are indexed by address, and only the addresses of the update's entries are compared. Measured: under 0.001 ms a change with 3,200 servers (a loop of 200 changes on arm64). AddressOwners.* pass.

--- a/node/address_owners.cpp
+++ b/node/address_owners.cpp
@@ -1,8 +1,8 @@
 #include "address_owners.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
-#include <unordered_set>
 #include <utility>
 
 namespace thymewood::node {
@@ -22,17 +22,17 @@
   ++update_;
   for (const ListedEndpoint& entry : update.endpoints) store(entry);
   if (update.is_full) drop_unlisted();
-  find_owners();
-  std::unordered_set<std::string> in_update;
+  std::vector<std::string> outdated;
   for (ListedEndpoint& entry : update.endpoints) {
     const auto it = servers_.find(entry.endpoint.address);
-    if (it != servers_.end() && it->second.has_lost_address) entry.endpoint.state = EndpointState::kRemoved;
-    in_update.insert(entry.endpoint.address);
+    if (it == servers_.end()) continue;
+    std::vector<std::string> names = find_owner(it->second.address);
+    std::move(names.begin(), names.end(), std::back_inserter(outdated));
+    if (it->second.has_lost_address) entry.endpoint.state = EndpointState::kRemoved;
   }
-  for (const auto& [name, server] : servers_) {
-    if (!server.has_lost_address || in_update.contains(name)) continue;
+  for (std::string& name : outdated) {
     ListedEndpoint removed;
-    removed.endpoint.address = name;
+    removed.endpoint.address = std::move(name);
     removed.endpoint.state = EndpointState::kRemoved;
     update.endpoints.push_back(std::move(removed));
   }
@@ -41,34 +41,51 @@
 
 void AddressOwners::store(const ListedEndpoint& entry) {
   const Endpoint& endpoint = entry.endpoint;
-  if (endpoint.state == EndpointState::kRemoved) {
-    servers_.erase(endpoint.address);
-    return;
-  }
+  if (endpoint.state == EndpointState::kRemoved) return remove(endpoint.address);
   if (entry.socket_address.port() == 0) return;  // malformed entry
-  const auto [it, is_new] = servers_.try_emplace(endpoint.address);
-  Listed& server = it->second;
   const double started_at = comparable_start(endpoint.started_at);
-  const bool is_same_process =
-      !is_new && server.address == entry.socket_address && server.started_at == started_at;
-  if (!is_same_process) server = {entry.socket_address, started_at, update_, false};
-  server.last_listed = update_;
+  const auto it = servers_.find(endpoint.address);
+  if (it != servers_.end() && it->second.address == entry.socket_address &&
+      it->second.started_at == started_at) {
+    it->second.last_listed = update_;
+    return;
+  }
+  remove(endpoint.address);
+  servers_[endpoint.address] = {entry.socket_address, started_at, update_, false};
+  by_address_[entry.socket_address].push_back(endpoint.address);
 }
 
-void AddressOwners::drop_unlisted() {
-  std::erase_if(servers_, [this](const auto& item) { return item.second.last_listed != update_; });
+void AddressOwners::remove(const std::string& name) {
+  const auto it = servers_.find(name);
+  if (it == servers_.end()) return;
+  const auto at_address = by_address_.find(it->second.address);
+  std::erase(at_address->second, name);
+  if (at_address->second.empty()) by_address_.erase(at_address);
+  servers_.erase(it);
 }
 
-// Of two processes with the same start time neither is known to be newer, and both keep the address.
-void AddressOwners::find_owners() {
-  std::map<boost::asio::ip::tcp::endpoint, double> last_start;
+void AddressOwners::drop_unlisted() {
+  std::vector<std::string> unlisted;
   for (const auto& [name, server] : servers_) {
-    const auto [it, is_first] = last_start.try_emplace(server.address, server.started_at);
-    it->second = std::max(it->second, server.started_at);
+    if (server.last_listed != update_) unlisted.push_back(name);
   }
-  for (auto& [name, server] : servers_) {
-    if (server.started_at < last_start[server.address]) server.has_lost_address = true;
+  for (const std::string& name : unlisted) remove(name);
+}
+
+// Returns the servers that lose the address now. Of two processes with the same start time neither is known
+// to be newer, and both keep the address.
+std::vector<std::string> AddressOwners::find_owner(const Address& address) {
+  std::vector<std::string> outdated;
+  const std::vector<std::string>& names = by_address_.at(address);
+  double last_start = kLongAgo;
+  for (const std::string& name : names) last_start = std::max(last_start, servers_.at(name).started_at);
+  for (const std::string& name : names) {
+    Listed& server = servers_.at(name);
+    if (server.has_lost_address || server.started_at >= last_start) continue;
+    server.has_lost_address = true;
+    outdated.push_back(name);
   }
+  return outdated;
 }
 
 }  // namespace thymewood::node
--- a/node/address_owners.h
+++ b/node/address_owners.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "endpoint_list.h"
 
@@ -28,12 +30,16 @@
     bool has_lost_address = false;
   };
 
+  using Address = boost::asio::ip::tcp::endpoint;
+
   void store(const ListedEndpoint& entry);
+  void remove(const std::string& name);
   void drop_unlisted();
-  void find_owners();
+  [[nodiscard]] std::vector<std::string> find_owner(const Address& address);
 
-  std::map<std::string, Listed> servers_;  // by name
-  std::uint64_t update_ = 0;               // number of the current update
+  std::unordered_map<std::string, Listed> servers_;         // by name
+  std::map<Address, std::vector<std::string>> by_address_;  // names of the servers
+  std::uint64_t update_ = 0;                                // number of the current update
 };
 
 }  // namespace thymewood::node
